Add the thin path of the gateway on the users' platform

Cause: the daemon speaks its own caller and platform interfaces only; the users' platform has others. Change: platform/ decodes the platform's objects and headers once; tarragonportd gateway forwards requests with Netty, because the recorded probes show that neither of Ktor's server engines refuses all ambiguous framing and offers per-connection control. Ruled out: Ktor CIO and Ktor Netty as they come (two answers on one connection, fixed header limits, late refusals). Measured: compiles; not yet run.

--- a/tarragonport-api/src/main/kotlin/io/tarragonport/api/error/ErrorKind.kt
+++ b/tarragonport-api/src/main/kotlin/io/tarragonport/api/error/ErrorKind.kt
@@ -13,6 +13,7 @@
 ) {
     INVALID_REQUEST("invalid_request", 400),
     BODY_TOO_LARGE("body_too_large", 413),
+    HEADERS_TOO_LARGE("headers_too_large", 431),
     BODY_INCOMPLETE("body_incomplete", 400),
     CALLER_TOO_SLOW("caller_too_slow", 408),
     KEY_MISSING("key_missing", 401),
--- /dev/null
+++ b/tarragonport-api/src/main/kotlin/io/tarragonport/api/gateway/GatewayConfiguration.kt
@@ -0,0 +1,12 @@
+package io.tarragonport.api.gateway
+
+import io.tarragonport.api.id.ConfigurationVersion
+
+/** One complete version of what the operator configured. */
+data class GatewayConfiguration(
+    val version: ConfigurationVersion,
+    val routes: List<GatewayRoute>,
+    val services: List<GatewayService>,
+    val limits: CallerLimits,
+    val organisations: List<OrganisationAccess>,
+)
--- /dev/null
+++ b/tarragonport-api/src/main/kotlin/io/tarragonport/api/gateway/GatewayService.kt
@@ -0,0 +1,17 @@
+package io.tarragonport.api.gateway
+
+import io.tarragonport.api.id.ServiceId
+
+/**
+ * A group of interchangeable backend servers.
+ *
+ * [maximumConnections] is what one server accepts from all VMs together. [engine] is set for model engines, [scaling]
+ * for services whose number of servers is ordered by this system.
+ */
+data class GatewayService(
+    val id: ServiceId,
+    val healthPath: String,
+    val maximumConnections: Int,
+    val engine: EngineLimits? = null,
+    val scaling: ScalingLimits? = null,
+)
--- /dev/null
+++ b/tarragonport-api/src/main/kotlin/io/tarragonport/api/id/ConfigurationVersion.kt
@@ -0,0 +1,14 @@
+package io.tarragonport.api.id
+
+import kotlinx.serialization.Serializable
+
+/** Number of a complete configuration; it grows with each change, not always by one. */
+@Serializable
+@JvmInline
+value class ConfigurationVersion(
+    val value: Long,
+) : Comparable<ConfigurationVersion> {
+    override fun compareTo(other: ConfigurationVersion): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value.toString()
+}
--- a/tarragonport-api/src/main/kotlin/io/tarragonport/api/platform/PlatformError.kt
+++ b/tarragonport-api/src/main/kotlin/io/tarragonport/api/platform/PlatformError.kt
@@ -32,4 +32,7 @@
         val message: String,
         val retryAfter: Duration? = null,
     ) : PlatformError
+
+    /** A watch asked for changes that the platform has discarded; everything has to be listed again. */
+    data object HistoryGone : PlatformError
 }
--- /dev/null
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerBoard.kt
@@ -0,0 +1,63 @@
+package io.tarragonport.core.gateway.balance
+
+import io.tarragonport.api.gateway.EngineLimits
+import io.tarragonport.api.gateway.GatewayService
+import io.tarragonport.api.gateway.RegisteredServer
+import io.tarragonport.api.id.BackendServerId
+import io.tarragonport.api.id.ServiceId
+
+/**
+ * All backend servers with their load, as the traffic thread knows them.
+ *
+ * A server that started again under its old id is a new server: it keeps nothing of what was known of the old one.
+ */
+class ServerBoard {
+    private val states = mutableMapOf<BackendServerId, ServerState>()
+    private var byService: Map<ServiceId, List<ServerState>> = emptyMap()
+    private var engines: Map<ServiceId, EngineLimits> = emptyMap()
+
+    /** Servers of [service], leaving ones included. */
+    fun servers(service: ServiceId): List<ServerState> = byService[service].orEmpty()
+
+    /** All servers. */
+    val all: Collection<ServerState> get() = states.values
+
+    /** Whether [service] consists of model engines. */
+    fun engine(service: ServiceId): EngineLimits? = engines[service]
+
+    /** Takes the services of a new configuration. */
+    fun configure(services: Collection<GatewayService>) {
+        engines = services.mapNotNull { service -> service.engine?.let { service.id to it } }.toMap()
+        states.values.forEach(::limitCache)
+    }
+
+    /** Takes the registered servers; returns the states of those that are gone or have started again. */
+    fun update(registered: Collection<RegisteredServer>): List<ServerState> {
+        val present = registered.associateBy { it.id }
+        val ended = states.values.filter { state -> ended(state, present[state.registered.id]) }
+        ended.forEach { states -= it.registered.id }
+        registered.forEach { server ->
+            states.getOrPut(server.id) { ServerState(server).also(::limitCache) }.registered = server
+        }
+        byService = states.values.groupBy { it.registered.service }
+        return ended
+    }
+
+    /** Takes what the other VMs have at the servers. */
+    fun updateOthers(loads: Map<BackendServerId, ServerLoad>) {
+        states.forEach { (id, state) -> state.others = loads[id] ?: ServerLoad.NONE }
+    }
+
+    private fun ended(
+        state: ServerState,
+        now: RegisteredServer?,
+    ): Boolean {
+        val before = state.registered
+        return now == null || now.startedAtMs != before.startedAtMs || now.address != before.address ||
+            now.service != before.service
+    }
+
+    private fun limitCache(state: ServerState) {
+        engines[state.registered.service]?.let { state.cache.capacityTokens = it.cacheTokens }
+    }
+}
--- /dev/null
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerSelector.kt
@@ -0,0 +1,88 @@
+package io.tarragonport.core.gateway.balance
+
+import io.tarragonport.api.gateway.PromptShape
+import io.tarragonport.api.id.BackendServerId
+import io.tarragonport.api.id.FailureDomainId
+import io.tarragonport.api.id.ServiceId
+import io.tarragonport.core.routing.RendezvousHash
+import kotlin.time.ComparableTimeMark
+import kotlin.time.DurationUnit
+
+/**
+ * Chooses the backend server for a request.
+ *
+ * A model engine's score is the expected time in milliseconds to the first event: unread prompts before this one, the
+ * part of its own prompt that the engine has not read, and what running requests cost. All VMs rank engines alike for a
+ * shared prompt part, so each part is read by one engine as long as that engine is not busy. A plain server's score is
+ * its expected time for the requests that it has.
+ */
+class ServerSelector(
+    private val board: ServerBoard,
+    private val domain: FailureDomainId,
+) {
+    /** The best server of [service] at [now] that [usable] accepts, or null. */
+    fun choose(
+        service: ServiceId,
+        prompt: PromptShape?,
+        now: ComparableTimeMark,
+        usable: (ServerState) -> Boolean,
+    ): ServerChoice? {
+        val candidates = board.servers(service).filter { it.open(now) && usable(it) }
+        val engine = board.engine(service)
+        val scored =
+            if (engine != null && prompt != null) {
+                val preferred = preferred(prompt, candidates)
+                candidates.map { engineScore(it, prompt, now, preferred) }
+            } else {
+                candidates.map { plainScore(it, now) }
+            }
+        return scored.minByOrNull { it.score }?.copy(candidates = candidates.size)
+    }
+
+    private fun engineScore(
+        state: ServerState,
+        prompt: PromptShape,
+        now: ComparableTimeMark,
+        preferred: BackendServerId?,
+    ): ServerChoice {
+        val shared = prompt.sharedParts.sumOf { it.tokens }
+        val known = if (state.registered.id == preferred) shared else state.cache.knownTokens(prompt.sharedParts)
+        val toRead = (prompt.promptTokens - known).coerceAtLeast(0)
+        val reading = (state.allUnreadTokens + toRead) / TOKENS_READ_PER_MS
+        val running = state.allInFlight * RUNNING_COST_MS
+        val distance = if (state.registered.domain == domain) 0.0 else OTHER_DOMAIN_MS
+        return ServerChoice(state, (reading + running + distance) * state.health.penalty(now), toRead, 0)
+    }
+
+    private fun plainScore(
+        state: ServerState,
+        now: ComparableTimeMark,
+    ): ServerChoice {
+        val turns = (state.allInFlight + 1.0) / state.registered.slots.coerceAtLeast(1)
+        val distance = if (state.registered.domain == domain) 0.0 else OTHER_DOMAIN_MS
+        val time = state.health.answerTime.toDouble(DurationUnit.MILLISECONDS) * (1 + turns)
+        return ServerChoice(state, (time + distance) * state.health.penalty(now), 0, 0)
+    }
+
+    private fun preferred(
+        prompt: PromptShape,
+        candidates: List<ServerState>,
+    ): BackendServerId? {
+        val part = prompt.sharedParts.lastOrNull() ?: return null
+        val key = RendezvousHash.of(part.id)
+        return candidates.maxByOrNull { RendezvousHash.weight(key, RendezvousHash.of(it.registered.id.value)) }
+            ?.registered
+            ?.id
+    }
+
+    private companion object {
+        /** Prompt tokens that an engine reads in a millisecond, from the deployments' sheets (48 to 57). */
+        const val TOKENS_READ_PER_MS = 50.0
+
+        /** What one running request adds to a step of the batch, a few times over until the first event. */
+        const val RUNNING_COST_MS = 2.0
+
+        /** Network time to another failure domain and back, and a share of the price of the bytes. */
+        const val OTHER_DOMAIN_MS = 3.0
+    }
+}
--- /dev/null
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerState.kt
@@ -0,0 +1,75 @@
+package io.tarragonport.core.gateway.balance
+
+import io.tarragonport.api.gateway.RegisteredServer
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration.Companion.milliseconds
+
+/** What this VM knows of one backend server that it sends requests to. */
+class ServerState(
+    registered: RegisteredServer,
+) {
+    /** The server's newest registration. */
+    var registered: RegisteredServer = registered
+        internal set
+
+    /** Requests of this VM at the server. */
+    var inFlight = 0
+        private set
+
+    /** Prompt tokens of this VM's requests that the server has not answered with a first event yet. */
+    var unreadTokens = 0L
+        private set
+
+    /** Prompt parts that the server is believed to keep. */
+    val cache = PromptCacheView()
+
+    /** Recent failures and the time of answers. */
+    val health = ServerHealthView()
+
+    /** What the other VMs have at the server, as they said last. */
+    var others: ServerLoad = ServerLoad.NONE
+        internal set
+
+    /** Until when no request is sent because the server could not be reached or refused for lack of room. */
+    var closedUntil: ComparableTimeMark? = null
+        private set
+
+    /** Requests of all VMs at the server. */
+    val allInFlight: Int get() = inFlight + others.inFlight
+
+    /** Unread prompt tokens of all VMs at the server. */
+    val allUnreadTokens: Long get() = unreadTokens + others.unreadTokens
+
+    /** Whether the server may get a request at [now]. */
+    fun open(now: ComparableTimeMark): Boolean = !registered.leaving && (closedUntil?.let { it <= now } ?: true)
+
+    /** Keeps requests away from the server until [until]. */
+    fun closeUntil(until: ComparableTimeMark) {
+        closedUntil = until
+    }
+
+    /** A request with [tokens] that the server has to read was sent. */
+    fun started(tokens: Int) {
+        inFlight++
+        unreadTokens += tokens
+    }
+
+    /** The server has read [tokens] of a request and begun to answer it. */
+    fun firstEvent(tokens: Int) {
+        unreadTokens -= tokens
+    }
+
+    /** A request ended. */
+    fun ended() {
+        inFlight--
+        check(inFlight >= 0) { "server ${registered.id} has $inFlight requests in flight" }
+    }
+
+    companion object {
+        /** Pause after a refusal for lack of room: a few steps of a batch. */
+        val FULL_PAUSE = 50.milliseconds
+
+        /** Pause after a connection could not be opened: a restarted server needs seconds, a full backlog less. */
+        val UNREACHABLE_PAUSE = 500.milliseconds
+    }
+}
--- /dev/null
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/stream/EventSplitter.kt
@@ -0,0 +1,69 @@
+package io.tarragonport.core.gateway.stream
+
+import java.io.ByteArrayOutputStream
+
+/**
+ * Cuts the bytes of an event stream at the ends of events, so that only whole events are passed on.
+ *
+ * An event ends with an empty line. [lastId] is the id of the last whole event.
+ */
+class EventSplitter {
+    private val pending = ByteArrayOutputStream()
+    private val line = StringBuilder()
+    private var carriageReturn = false
+    private var id: String? = null
+
+    /** The id of the last event that was returned by [add]. */
+    var lastId: String? = null
+        private set
+
+    /** Whether bytes of an unfinished event are held. */
+    val unfinished: Boolean get() = pending.size() > 0
+
+    /** Adds [bytes] and returns the events that are now complete, or null. */
+    fun add(bytes: ByteArray): ByteArray? {
+        var complete = 0
+        for (index in bytes.indices) {
+            if (endsEvent(bytes[index])) complete = index + 1
+        }
+        if (complete == 0) {
+            pending.write(bytes, 0, bytes.size)
+            return null
+        }
+        pending.write(bytes, 0, complete)
+        val events = pending.toByteArray()
+        pending.reset()
+        pending.write(bytes, complete, bytes.size - complete)
+        return events
+    }
+
+    private fun endsEvent(byte: Byte): Boolean {
+        val character = byte.toInt().toChar()
+        if (character != '\n' && character != '\r') {
+            carriageReturn = false
+            if (line.length < LONGEST_ID_LINE) line.append(character)
+            return false
+        }
+        val continuesLineEnd = character == '\n' && carriageReturn
+        carriageReturn = character == '\r'
+        return if (continuesLineEnd) false else endOfLine()
+    }
+
+    private fun endOfLine(): Boolean {
+        val text = line.toString()
+        line.setLength(0)
+        if (text.isEmpty()) {
+            lastId = id ?: lastId
+            return true
+        }
+        if (text.startsWith(ID_FIELD)) id = text.removePrefix(ID_FIELD).trim()
+        return false
+    }
+
+    private companion object {
+        const val ID_FIELD = "id:"
+
+        /** Only lines with an id are read, and ids are short numbers. */
+        const val LONGEST_ID_LINE = 64
+    }
+}
--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/retry/RetryBudget.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/retry/RetryBudget.kt
@@ -4,13 +4,15 @@
 import kotlin.time.TimeSource
 
 /**
- * Bounds retries of one VM to [SHARE] of its requests over the last 10 s, but to no less than [LEAST_PER_SECOND] in any
+ * Bounds retries of one VM to [share] of its requests over the last 10 s, but to no less than [leastPerSecond] in any
  * second. Safe to call from any thread.
  *
  * Counts are kept in slots of one second; the window is the current second and the nine before it.
  */
 class RetryBudget(
     timeSource: TimeSource,
+    private val share: Double = SHARE,
+    private val leastPerSecond: Int = LEAST_PER_SECOND,
 ) {
     private class Second {
         var number = -1L
@@ -32,9 +34,9 @@
     fun tryTake(): Boolean {
         val second = current()
         val live = window.filter { it.number > second.number - WINDOW_SECONDS }
-        val allowedByShare = (live.sumOf { it.requests } * SHARE).toInt()
+        val allowedByShare = (live.sumOf { it.requests } * share).toInt()
         val withinShare = live.sumOf { it.retries } < allowedByShare
-        if (!withinShare && second.retries >= LEAST_PER_SECOND) return false
+        if (!withinShare && second.retries >= leastPerSecond) return false
         second.retries++
         return true
     }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/EventCatalogue.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/EventCatalogue.kt
@@ -3,6 +3,7 @@
 import io.tarragonport.api.event.LogEvent
 import io.tarragonport.daemon.configuration.ConfigurationEvents
 import io.tarragonport.daemon.dispatch.RequestEvents
+import io.tarragonport.daemon.gateway.exchange.GatewayEvents
 import io.tarragonport.daemon.intent.IntentEvents
 import io.tarragonport.daemon.lease.LeaseEvents
 import io.tarragonport.daemon.limit.LimitEvents
@@ -25,6 +26,7 @@
             PlacementEvents.ALL,
             UsageEvents.ALL,
             WeightEvents.ALL,
+            GatewayEvents.ALL,
         ).flatten().sortedBy { it.number }
 
     /** The rows of the table in `docs/events.md`. */
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/Main.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/Main.kt
@@ -1,6 +1,7 @@
 package io.tarragonport.daemon
 
 import io.tarragonport.api.settings.ProcessSettings
+import io.tarragonport.daemon.gateway.GatewayMain
 import io.tarragonport.daemon.logging.LogSetup
 import io.tarragonport.daemon.settings.ListenCheck
 import io.tarragonport.daemon.settings.SettingsReader
@@ -16,6 +17,7 @@
 
 private const val FAILED = 1
 private const val INVALID = 2
+private const val GATEWAY_COMMAND = "gateway"
 private val STOP_SIGNALS = listOf("TERM", "INT")
 
 /**
@@ -23,6 +25,7 @@
  * settings.
  */
 fun main(arguments: Array<String>) {
+    if (arguments.firstOrNull() == GATEWAY_COMMAND) return GatewayMain.run(arguments.drop(1))
     val settings = settings(arguments)
     ListenCheck.faults(settings).takeIf { it.isNotEmpty() }?.let { exit(FAILED, it) }
     LogSetup.apply(settings.logFormat)
@@ -59,7 +62,7 @@
         exit(INVALID, listOf("tarragonportd: ${exception.message}", "Try: tarragonportd --help"))
     }
     if (parsed.help) {
-        println("usage: tarragonportd --settings FILE [--check]")
+        println("usage: tarragonportd [gateway] --settings FILE [--check]")
         parser.printUsage(System.out)
         exitProcess(0)
     }
--- /dev/null
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ControlLog.kt
@@ -0,0 +1,12 @@
+package io.tarragonport.daemon.gateway.control
+
+import io.tarragonport.api.event.LogEvent
+
+/** Writes one line for each decision of the control thread. */
+internal fun interface ControlLog {
+    /** Logs [event] with the inputs that decided it. */
+    fun event(
+        event: LogEvent,
+        vararg fields: Pair<String, Any?>,
+    )
+}
--- /dev/null
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/KindWatch.kt
@@ -0,0 +1,100 @@
+package io.tarragonport.daemon.gateway.control
+
+import io.tarragonport.api.id.ObjectVersion
+import io.tarragonport.api.platform.ObjectEntry
+import io.tarragonport.api.platform.ObjectListing
+import io.tarragonport.api.platform.ObjectStore
+import io.tarragonport.api.platform.PlatformError
+import io.tarragonport.daemon.gateway.exchange.GatewayEvents
+import kotlinx.coroutines.delay
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+/**
+ * Follows all objects of one kind: lists them once, then watches for changes.
+ *
+ * A watch that breaks goes on from where it was. If the store has discarded the changes in between, or the store was
+ * away, everything is listed again. A connection that went silent is found after [WATCH_WAIT] and the client's slack.
+ */
+internal class KindWatch(
+    private val prefix: String,
+    private val store: ObjectStore,
+    private val clock: TimeSource.WithComparableMarks,
+    private val log: ControlLog,
+    private val follower: KindFollower,
+) {
+    private var position: ObjectVersion? = null
+    private var failingSince: ComparableTimeMark? = null
+
+    /** Runs until it is cancelled. */
+    suspend fun run() {
+        while (true) {
+            step()
+        }
+    }
+
+    private suspend fun step() {
+        val from = position
+        if (from == null) {
+            store.list(prefix, withValues = true).fold({ failed(it) }, ::listed)
+        } else {
+            store.watch(prefix, from, WATCH_WAIT).fold({ failed(it) }) { changed(it, from) }
+        }
+    }
+
+    private fun listed(listing: ObjectListing) {
+        val outage = regained()
+        position = listing.revision
+        follower.listed(listing.objects, outage != null)
+    }
+
+    private suspend fun changed(
+        listing: ObjectListing,
+        from: ObjectVersion,
+    ) {
+        val outage = regained()
+        if (outage != null && outage > SHORT_BREAK) {
+            position = null
+            follower.storeReturned()
+            return
+        }
+        position = maxOf(listing.revision, from)
+        listing.objects.forEach { follower.changed(it) }
+    }
+
+    private suspend fun failed(error: PlatformError) {
+        if (error == PlatformError.HistoryGone) {
+            log.event(GatewayEvents.HISTORY_GONE, "kind" to prefix)
+            position = null
+            return
+        }
+        if (failingSince == null) {
+            failingSince = clock.markNow()
+            log.event(GatewayEvents.STORE_LOST, "kind" to prefix, "error" to error)
+        }
+        delay(RETRY_DELAY)
+    }
+
+    /** How long the store was away until now, null if it was not. */
+    private fun regained(): Duration? {
+        val since = failingSince ?: return null
+        failingSince = null
+        val outage = since.elapsedNow()
+        log.event(GatewayEvents.STORE_REGAINED, "kind" to prefix, "after_ms" to outage.inWholeMilliseconds)
+        return outage
+    }
+
+    companion object {
+        /** Waiting time of a watch: short enough to notice a silent connection within a configuration's time limit. */
+        val WATCH_WAIT: Duration = 2.5.seconds
+
+        /** Pause after a failed call. */
+        val RETRY_DELAY: Duration = 200.milliseconds
+
+        /** A watch that was cut for less than this goes on without a new listing. */
+        val SHORT_BREAK: Duration = 1.seconds
+    }
+}
--- /dev/null
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ServerFollower.kt
@@ -0,0 +1,68 @@
+package io.tarragonport.daemon.gateway.control
+
+import io.tarragonport.api.gateway.RegisteredServer
+import io.tarragonport.api.id.BackendServerId
+import io.tarragonport.api.platform.ObjectEntry
+import io.tarragonport.core.gateway.registry.ServerRegistry
+import io.tarragonport.daemon.gateway.exchange.GatewayEvents
+import io.tarragonport.wire.ServerDecoder
+import kotlinx.coroutines.delay
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Keeps the registered backend servers and hands each change to [apply]. */
+internal class ServerFollower(
+    private val registry: ServerRegistry,
+    private val log: ControlLog,
+    private val apply: (List<RegisteredServer>) -> Unit,
+) : KindFollower {
+    override fun listed(
+        objects: List<ObjectEntry>,
+        afterOutage: Boolean,
+    ) {
+        val servers = objects.mapNotNull(::decode)
+        registry.replace(servers, afterOutage)
+        log.event(GatewayEvents.SERVERS_LISTED, "servers" to servers.size, "after_outage" to afterOutage)
+        publish()
+    }
+
+    override fun changed(entry: ObjectEntry) {
+        if (entry.deleted) {
+            val id = BackendServerId(entry.name.removePrefix(ServerDecoder.PREFIX))
+            registry.remove(id)
+            log.event(GatewayEvents.SERVER_GONE, "server" to id, "version" to entry.version)
+        } else {
+            val server = decode(entry) ?: return
+            registry.put(server)
+            log.event(GatewayEvents.SERVER_ADDED, "server" to server, "version" to entry.version)
+        }
+        publish()
+    }
+
+    override fun storeReturned() = registry.storeReturned()
+
+    /** Removes entries that did not return after an outage. */
+    suspend fun expireMissing() {
+        while (true) {
+            delay(EXPIRY_INTERVAL)
+            val gone = registry.expire()
+            gone.forEach { log.event(GatewayEvents.SERVER_GONE, "server" to it, "reason" to "missing after an outage") }
+            if (gone.isNotEmpty()) publish()
+        }
+    }
+
+    private fun publish() = apply(registry.servers.toList())
+
+    private fun decode(entry: ObjectEntry): RegisteredServer? =
+        ServerDecoder.decode(entry.name, entry.value.orEmpty()).fold(
+            { reason ->
+                log.event(GatewayEvents.SERVER_REJECTED, "entry" to entry.name, "reason" to reason)
+                null
+            },
+            { it },
+        )
+
+    private companion object {
+        val EXPIRY_INTERVAL: Duration = 100.milliseconds
+    }
+}
--- /dev/null
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/OutgoingRequest.kt
@@ -0,0 +1,15 @@
+package io.tarragonport.daemon.gateway.egress
+
+import io.netty.buffer.ByteBuf
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
+import io.tarragonport.api.id.RequestId
+
+/** A request as it is sent to a backend server; [body] stays with its owner, who keeps it for another attempt. */
+internal class OutgoingRequest(
+    val id: RequestId?,
+    val method: HttpMethod,
+    val target: String,
+    val headers: HttpHeaders,
+    val body: ByteBuf,
+)
--- /dev/null
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/CompleteAnswer.kt
@@ -0,0 +1,11 @@
+package io.tarragonport.daemon.gateway.exchange
+
+import io.netty.buffer.ByteBuf
+import io.netty.handler.codec.http.HttpHeaders
+
+/** A backend server's whole answer. */
+internal class CompleteAnswer(
+    val status: Int,
+    val headers: HttpHeaders,
+    val body: ByteBuf,
+)
--- /dev/null
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/GatewayEvents.kt
@@ -0,0 +1,64 @@
+package io.tarragonport.daemon.gateway.exchange
+
+import io.tarragonport.api.event.LogEvent
+
+/** Log events of the gateway, 3000 to 3099. */
+object GatewayEvents {
+    val ENDED = LogEvent(3001, "request_ended", "a request has its answer; carries outcome, route and time")
+    val REFUSED = LogEvent(3002, "request_refused", "a request was refused before it was sent to a server")
+    val MALFORMED = LogEvent(3003, "request_malformed", "a request was refused because of its form")
+    val SENT = LogEvent(3004, "request_sent", "a request goes to a server; carries the inputs of the choice")
+    val ATTEMPT_FAILED = LogEvent(3005, "attempt_failed", "a server gave no usable answer; says whether another is asked")
+    val CALLER_CONNECTION_FAILED = LogEvent(3006, "caller_connection_failed", "the connection to a caller broke")
+    val CONFIGURATION_APPLIED = LogEvent(3010, "gateway_configuration_applied", "a configuration came into force")
+    val CONFIGURATION_REJECTED = LogEvent(3011, "gateway_configuration_rejected", "a configuration cannot be read")
+    val SERVER_ADDED = LogEvent(3012, "server_registered", "a server registered itself or changed its entry")
+    val SERVER_GONE = LogEvent(3013, "server_gone", "a server's entry was removed or lapsed")
+    val SERVER_REJECTED = LogEvent(3014, "server_entry_rejected", "an entry names no server that can be used")
+    val SERVERS_LISTED = LogEvent(3015, "servers_listed", "all registered servers were listed")
+    val STORE_LOST = LogEvent(3020, "store_lost", "the platform's store does not answer")
+    val STORE_REGAINED = LogEvent(3021, "store_regained", "the platform's store answers again")
+    val HISTORY_GONE = LogEvent(3022, "store_history_gone", "changes were discarded; everything is listed again")
+    val GATEWAY_STARTED = LogEvent(3030, "gateway_started", "the process listens; carries its addresses")
+    val GATEWAY_READY = LogEvent(3031, "gateway_ready", "a configuration and a listing of servers are in force")
+    val GATEWAY_DRAINING = LogEvent(3032, "gateway_draining", "a stop signal arrived; running requests are finished")
+    val GATEWAY_STOPPED = LogEvent(3033, "gateway_stopped", "the process ends; carries the requests that were cut")
+    val SETTINGS_RELOADED = LogEvent(3034, "settings_reloaded", "the settings file was read again")
+    val SETTINGS_REJECTED = LogEvent(3035, "settings_rejected", "the settings file cannot be used; the old ones stay")
+    val USAGE_REPORTED = LogEvent(3040, "window_reported", "a usage window was reported")
+    val USAGE_FAILED = LogEvent(3041, "window_report_failed", "a usage window could not be reported yet")
+    val SERVERS_ORDERED = LogEvent(3042, "servers_ordered", "a number of servers was ordered")
+    val ORDER_FAILED = LogEvent(3043, "server_order_failed", "an order of servers was not accepted")
+    val PEERS_CHANGED = LogEvent(3050, "peers_changed", "the set of live VMs changed")
+
+    /** Every event of the gateway. */
+    val ALL =
+        listOf(
+            ENDED,
+            REFUSED,
+            MALFORMED,
+            SENT,
+            ATTEMPT_FAILED,
+            CALLER_CONNECTION_FAILED,
+            CONFIGURATION_APPLIED,
+            CONFIGURATION_REJECTED,
+            SERVER_ADDED,
+            SERVER_GONE,
+            SERVER_REJECTED,
+            SERVERS_LISTED,
+            STORE_LOST,
+            STORE_REGAINED,
+            HISTORY_GONE,
+            GATEWAY_STARTED,
+            GATEWAY_READY,
+            GATEWAY_DRAINING,
+            GATEWAY_STOPPED,
+            SETTINGS_RELOADED,
+            SETTINGS_REJECTED,
+            USAGE_REPORTED,
+            USAGE_FAILED,
+            SERVERS_ORDERED,
+            ORDER_FAILED,
+            PEERS_CHANGED,
+        )
+}
--- /dev/null
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/MeasuringRequestLog.kt
@@ -0,0 +1,67 @@
+package io.tarragonport.daemon.gateway.exchange
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.tarragonport.api.error.ErrorKind
+import io.tarragonport.api.event.LogEvent
+import io.tarragonport.daemon.gateway.ingress.ReceivedRequest
+
+private val logger = KotlinLogging.logger {}
+
+/** Writes structured lines and keeps the metrics. */
+internal class MeasuringRequestLog(
+    private val metrics: GatewayMetrics,
+) : RequestLog {
+    override fun decision(
+        event: LogEvent,
+        request: ReceivedRequest,
+        vararg fields: Pair<String, Any?>,
+    ) = write(event, request, fields)
+
+    override fun ended(
+        request: ReceivedRequest,
+        route: String,
+        outcome: String,
+        milliseconds: Long,
+        vararg fields: Pair<String, Any?>,
+    ) {
+        metrics.requests.labelValues(route, outcome).inc()
+        metrics.duration.labelValues(route).observe(milliseconds / MILLISECONDS_PER_SECOND)
+        val result = arrayOf<Pair<String, Any?>>("route" to route, "outcome" to outcome, "ms" to milliseconds)
+        write(GatewayEvents.ENDED, request, result + fields)
+    }
+
+    override fun malformed(
+        kind: ErrorKind,
+        method: String?,
+        target: String?,
+    ) = logEvent(GatewayEvents.MALFORMED, "kind" to kind.code, "method" to method, "target" to target?.take(LONGEST_TARGET))
+
+    override fun connectionFailed(cause: Throwable) =
+        logEvent(GatewayEvents.CALLER_CONNECTION_FAILED, "reason" to cause.message)
+
+    private fun write(
+        event: LogEvent,
+        request: ReceivedRequest,
+        fields: Array<out Pair<String, Any?>>,
+    ) = logEvent(event, "request" to request.metadata.requestId, *fields)
+
+    /** Logs and counts an event. */
+    fun logEvent(
+        event: LogEvent,
+        vararg fields: Pair<String, Any?>,
+    ) {
+        metrics.events.labelValues(event.name).inc()
+        logger.atInfo {
+            message = event.name
+            payload = buildMap {
+                put("event", event.number)
+                fields.forEach { (name, value) -> put(name, value?.toString()) }
+            }
+        }
+    }
+
+    private companion object {
+        const val MILLISECONDS_PER_SECOND = 1000.0
+        const val LONGEST_TARGET = 80
+    }
+}
--- /dev/null
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/HeadCheck.kt
@@ -0,0 +1,42 @@
+package io.tarragonport.daemon.gateway.ingress
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.TooLongHttpHeaderException
+import io.netty.handler.codec.http.TooLongHttpLineException
+import io.tarragonport.api.error.ErrorKind
+
+/** Checks a request's first line and headers beyond what the decoder checks. */
+internal object HeadCheck {
+    /** The host that the request names, or the kind of error that it is refused with. */
+    fun check(request: HttpRequest): Either<ErrorKind, String> {
+        if (request.decoderResult().isFailure) return decoderError(request.decoderResult().cause()).left()
+        val hosts = request.headers().getAll(HttpHeaderNames.HOST)
+        val codings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING)
+        val valid =
+            request.protocolVersion() in VERSIONS &&
+                hosts.size == 1 &&
+                hosts.single().isNotBlank() &&
+                request.uri().startsWith('/') &&
+                request.uri().none { it <= ' ' || it == DELETE } &&
+                (codings.isEmpty() || isChunked(codings))
+        return if (valid) hosts.single().trim().right() else ErrorKind.INVALID_REQUEST.left()
+    }
+
+    private fun isChunked(codings: List<String>): Boolean =
+        codings.size == 1 && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.single().trim())
+
+    private fun decoderError(cause: Throwable): ErrorKind =
+        when (cause) {
+            is TooLongHttpHeaderException, is TooLongHttpLineException -> ErrorKind.HEADERS_TOO_LARGE
+            else -> ErrorKind.INVALID_REQUEST
+        }
+
+    private val VERSIONS = setOf(HttpVersion.HTTP_1_0, HttpVersion.HTTP_1_1)
+    private const val DELETE = '\u007f'
+}
--- /dev/null
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/PartialRequest.kt
@@ -0,0 +1,10 @@
+package io.tarragonport.daemon.gateway.ingress
+
+import io.netty.handler.codec.http.HttpRequest
+
+/** A request whose body is still arriving. */
+internal class PartialRequest(
+    val request: HttpRequest,
+    val host: String,
+    val body: BodyAssembler,
+)
--- /dev/null
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/StatusServer.kt
@@ -0,0 +1,80 @@
+package io.tarragonport.daemon.gateway.ingress
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoop
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpServerCodec
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import java.net.InetSocketAddress
+
+/**
+ * Answers GET requests for process status: readiness and metrics.
+ *
+ * It runs on the traffic thread, so that a process whose traffic thread is stuck does not answer that it is ready.
+ */
+internal class StatusServer(
+    private val loop: EventLoop,
+    private val answer: (path: String) -> StatusAnswer,
+) {
+    private val bound = mutableListOf<Channel>()
+
+    /** Listens on [address] (`ip:port`). */
+    fun start(address: String) {
+        val bootstrap =
+            ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel::class.java)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childHandler(
+                    object : ChannelInitializer<Channel>() {
+                        override fun initChannel(channel: Channel) {
+                            channel.pipeline().addLast(HttpServerCodec(), HttpObjectAggregator(LARGEST_BODY), handler())
+                        }
+                    },
+                )
+        val host = address.substringBeforeLast(':')
+        bound += bootstrap.bind(InetSocketAddress(host, address.substringAfterLast(':').toInt())).sync().channel()
+    }
+
+    private fun handler() =
+        object : SimpleChannelInboundHandler<FullHttpRequest>() {
+            override fun channelRead0(
+                context: ChannelHandlerContext,
+                request: FullHttpRequest,
+            ) {
+                val status = answer(request.uri().substringBefore('?'))
+                val body = Unpooled.copiedBuffer(status.text, Charsets.UTF_8)
+                val response =
+                    DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status.status), body)
+                HttpUtil.setContentLength(response, body.readableBytes().toLong())
+                val keepAlive = HttpUtil.isKeepAlive(request)
+                HttpUtil.setKeepAlive(response, keepAlive)
+                val written = context.writeAndFlush(response)
+                if (!keepAlive) written.addListener(ChannelFutureListener.CLOSE)
+            }
+
+            override fun exceptionCaught(
+                context: ChannelHandlerContext,
+                cause: Throwable,
+            ) {
+                context.close()
+            }
+        }
+
+    private companion object {
+        /** Status requests have no body. */
+        const val LARGEST_BODY = 1024
+    }
+}
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/placement/OrderSender.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/placement/OrderSender.kt
@@ -42,6 +42,6 @@
         when (error) {
             is PlatformError.Unavailable -> OrderOutcome.UNKNOWN
             is PlatformError.Refused -> OrderOutcome.WITHHELD
-            is PlatformError.Rejected, is PlatformError.Conflict -> OrderOutcome.REJECTED
+            is PlatformError.Rejected, is PlatformError.Conflict, PlatformError.HistoryGone -> OrderOutcome.REJECTED
         }
 }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/settings/SettingsReader.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/settings/SettingsReader.kt
@@ -4,33 +4,47 @@
 import arrow.core.left
 import arrow.core.right
 import io.tarragonport.api.configuration.ConfigurationJson
+import io.tarragonport.api.settings.GatewaySettings
 import io.tarragonport.api.settings.ProcessSettings
 import io.tarragonport.core.configuration.validation.FieldChecker
+import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.JsonElement
-import kotlinx.serialization.json.decodeFromJsonElement
 
 /** Reads the settings file of a process and reports all its faults at once. */
 object SettingsReader {
-    /** Parses and checks [text]; the left side has one line for each fault. */
-    fun read(text: String): Either<List<String>, ProcessSettings> {
+    /** Parses and checks the settings of a daemon; the left side has one line for each fault. */
+    fun read(text: String): Either<List<String>, ProcessSettings> =
+        read(text, ProcessSettings.serializer(), SettingsRules::check)
+
+    /** Parses and checks the settings of a gateway; the left side has one line for each fault. */
+    fun readGateway(text: String): Either<List<String>, GatewaySettings> =
+        read(text, GatewaySettings.serializer(), GatewaySettingsRules::check)
+
+    private fun <T> read(
+        text: String,
+        form: KSerializer<T>,
+        rules: (T) -> List<String>,
+    ): Either<List<String>, T> {
         val root = parse(text).fold({ return listOf(it).left() }, { it })
         val faults = mutableListOf<String>()
         FieldChecker { path, message -> faults += "${path.ifEmpty { "/" }}: $message" }
-            .check("", root, ProcessSettings.serializer().descriptor)
+            .check("", root, form.descriptor)
         if (faults.isNotEmpty()) {
             return faults.left()
         }
-        val settings = decode(root).fold({ return listOf(it).left() }, { it })
-        val values = SettingsRules.check(settings)
+        val settings = decode(root, form).fold({ return listOf(it).left() }, { it })
+        val values = rules(settings)
         return if (values.isEmpty()) settings.right() else values.left()
     }
 
     private fun parse(text: String): Either<String, JsonElement> =
         guarded { ConfigurationJson.parseToJsonElement(text) }
 
-    private fun decode(root: JsonElement): Either<String, ProcessSettings> =
-        guarded { ConfigurationJson.decodeFromJsonElement<ProcessSettings>(root) }
+    private fun <T> decode(
+        root: JsonElement,
+        form: KSerializer<T>,
+    ): Either<String, T> = guarded { ConfigurationJson.decodeFromJsonElement(form, root) }
 
     private fun <T> guarded(block: () -> T): Either<String, T> =
         try {
--- a/tarragonport-platform/src/main/kotlin/io/tarragonport/platform/PlatformHttp.kt
+++ b/tarragonport-platform/src/main/kotlin/io/tarragonport/platform/PlatformHttp.kt
@@ -43,7 +43,7 @@
         }
 
     /** Calls [path], which is a list of unencoded segments, and reads the whole answer within [limit]. */
-    internal suspend fun call(
+    suspend fun call(
         method: HttpMethod,
         path: List<String>,
         limit: Duration = timeouts.call,
