Keep short and long prompts on different engines and size the fleet by a stored baseline

Change: engines are divided by prompt length as a preference; the number found at the start is kept in the store as the least.

--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerBoard.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerBoard.kt
@@ -15,6 +15,7 @@
     private val states = mutableMapOf<BackendServerId, ServerState>()
     private var byService: Map<ServiceId, List<ServerState>> = emptyMap()
     private var engines: Map<ServiceId, EngineLimits> = emptyMap()
+    private var shortPrompts: Map<ServiceId, Set<BackendServerId>> = emptyMap()
 
     /** Servers of [service], leaving ones included. */
     fun servers(service: ServiceId): List<ServerState> = byService[service].orEmpty()
@@ -25,10 +26,14 @@
     /** Whether [service] consists of model engines. */
     fun engine(service: ServiceId): EngineLimits? = engines[service]
 
+    /** Engines of [service] that are meant for short prompts. */
+    fun shortPromptEngines(service: ServiceId): Set<BackendServerId> = shortPrompts[service].orEmpty()
+
     /** Takes the services of a new configuration. */
     fun configure(services: Collection<GatewayService>) {
         engines = services.mapNotNull { service -> service.engine?.let { service.id to it } }.toMap()
         states.values.forEach(::limitCache)
+        divide()
     }
 
     /** Takes the registered servers; returns the states of those that are gone or have started again. */
@@ -40,6 +45,7 @@
             states.getOrPut(server.id) { ServerState(server).also(::limitCache) }.registered = server
         }
         byService = states.values.groupBy { it.registered.service }
+        divide()
         return ended
     }
 
@@ -48,6 +54,13 @@
         states.forEach { (id, state) -> state.others = loads[id] ?: ServerLoad.NONE }
     }
 
+    private fun divide() {
+        shortPrompts =
+            byService
+                .filterKeys { it in engines }
+                .mapValues { (_, states) -> EngineGroups.shortPromptEngines(states.filter { !it.registered.leaving }) }
+    }
+
     private fun ended(
         state: ServerState,
         now: RegisteredServer?,
--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerSelector.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerSelector.kt
@@ -3,7 +3,6 @@
 import io.tarragonport.api.gateway.PromptShape
 import io.tarragonport.api.id.BackendServerId
 import io.tarragonport.api.id.FailureDomainId
-import io.tarragonport.api.id.ServiceId
 import io.tarragonport.core.routing.RendezvousHash
 import kotlin.time.ComparableTimeMark
 import kotlin.time.DurationUnit
@@ -13,37 +12,48 @@
  *
  * A model engine's score is the expected time in milliseconds to the first event: unread prompts before this one, the
  * part of its own prompt that the engine has not read, and what running requests cost. All VMs rank engines alike for a
- * shared prompt part, so each part is read by one engine as long as that engine is not busy. A plain server's score is
- * its expected time for the requests that it has.
+ * shared prompt part, so each part is read by one engine as long as that engine is not busy. Short and long prompts
+ * prefer different engines ([EngineGroups]). A plain server's score is its expected time for the requests that it has.
  */
 class ServerSelector(
     private val board: ServerBoard,
     private val domain: FailureDomainId,
 ) {
-    /** The best server of [service] at [now] that [usable] accepts, or null. */
+    /** The best server for [request] at [now] that [usable] accepts, or null. */
     fun choose(
-        service: ServiceId,
-        prompt: PromptShape?,
+        request: SelectionRequest,
         now: ComparableTimeMark,
         usable: (ServerState) -> Boolean,
     ): ServerChoice? {
-        val candidates = board.servers(service).filter { it.open(now) && usable(it) }
-        val engine = board.engine(service)
+        val candidates = board.servers(request.service).filter { it.open(now) && usable(it) }
+        val prompt = request.prompt?.takeIf { board.engine(request.service) != null }
         val scored =
-            if (engine != null && prompt != null) {
-                val preferred = preferred(prompt, candidates)
-                candidates.map { engineScore(it, prompt, now, preferred) }
-            } else {
-                candidates.map { plainScore(it, now) }
-            }
+            if (prompt == null) candidates.map { plainScore(it, now) } else engineScores(prompt, request, candidates, now)
         return scored.minByOrNull { it.score }?.copy(candidates = candidates.size)
     }
 
+    private fun engineScores(
+        prompt: PromptShape,
+        request: SelectionRequest,
+        candidates: List<ServerState>,
+        now: ComparableTimeMark,
+    ): List<ServerChoice> {
+        val forShort = board.shortPromptEngines(request.service)
+        val ownGroup = candidates.filter { (it.registered.id in forShort) == request.shortPrompt }
+        val preferred = preferred(prompt, ownGroup.ifEmpty { candidates })
+        return candidates.map { state ->
+            val other = forShort.isNotEmpty() && (state.registered.id in forShort) != request.shortPrompt
+            val crossing = if (!other) 0.0 else if (request.shortPrompt) SHORT_CROSSING_MS else LONG_CROSSING_MS
+            engineScore(state, prompt, now, preferred, crossing)
+        }
+    }
+
     private fun engineScore(
         state: ServerState,
         prompt: PromptShape,
         now: ComparableTimeMark,
         preferred: BackendServerId?,
+        crossing: Double,
     ): ServerChoice {
         val shared = prompt.sharedParts.sumOf { it.tokens }
         val known = if (state.registered.id == preferred) shared else state.cache.knownTokens(prompt.sharedParts)
@@ -51,7 +61,7 @@
         val reading = (state.allUnreadTokens + toRead) / TOKENS_READ_PER_MS
         val running = state.allInFlight * RUNNING_COST_MS
         val distance = if (state.registered.domain == domain) 0.0 else OTHER_DOMAIN_MS
-        return ServerChoice(state, (reading + running + distance) * state.health.penalty(now), toRead, 0)
+        return ServerChoice(state, (reading + running + distance + crossing) * state.health.penalty(now), toRead, 0)
     }
 
     private fun plainScore(
@@ -70,7 +80,8 @@
     ): BackendServerId? {
         val part = prompt.sharedParts.lastOrNull() ?: return null
         val key = RendezvousHash.of(part.id)
-        return candidates.maxByOrNull { RendezvousHash.weight(key, RendezvousHash.of(it.registered.id.value)) }
+        return candidates
+            .maxByOrNull { RendezvousHash.weight(key, it.idHash) }
             ?.registered
             ?.id
     }
@@ -84,5 +95,11 @@
 
         /** Network time to another failure domain and back, and a share of the price of the bytes. */
         const val OTHER_DOMAIN_MS = 3.0
+
+        /** A short prompt goes among long ones rather than wait longer than two chunks of reading (72 ms each). */
+        const val SHORT_CROSSING_MS = 150.0
+
+        /** A long prompt among short ones delays a dozen streams; it waits for six chunks of reading first. */
+        const val LONG_CROSSING_MS = 450.0
     }
 }
--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerState.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerState.kt
@@ -1,6 +1,7 @@
 package io.tarragonport.core.gateway.balance
 
 import io.tarragonport.api.gateway.RegisteredServer
+import io.tarragonport.core.routing.RendezvousHash
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -12,6 +13,9 @@
     var registered: RegisteredServer = registered
         internal set
 
+    /** Hash of the server's id for rendezvous hashing. */
+    val idHash: Long = RendezvousHash.of(registered.id.value)
+
     /** Requests of this VM at the server. */
     var inFlight = 0
         private set
--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/scaling/EngineNeed.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/scaling/EngineNeed.kt
@@ -16,9 +16,8 @@
  */
 class EngineNeed(
     private val clock: TimeSource.WithComparableMarks,
-    serving: Int,
 ) {
-    private val samples = ArrayDeque(listOf(clock.markNow() to serving * SHARE_OF_SERVING))
+    private val samples = ArrayDeque<Pair<ComparableTimeMark, Double>>()
 
     /** Takes the load measured now and returns the number of engines needed. */
     fun update(demand: ServiceDemand): Int {
@@ -40,8 +39,5 @@
 
         /** Longer than the time between two bursts and the start of an engine together. */
         val REMEMBERED: Duration = 20.seconds
-
-        /** A deployment starts with servers for its bursts; without a burst this part of them is enough. */
-        const val SHARE_OF_SERVING = 0.7
     }
 }
--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/scaling/ServerPlan.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/scaling/ServerPlan.kt
@@ -2,6 +2,7 @@
 
 import io.tarragonport.api.gateway.ScalingLimits
 import io.tarragonport.api.id.FailureDomainId
+import kotlin.math.ceil
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -11,8 +12,8 @@
  * Divides the servers that a service needs among failure domains and between ordinary and cheap ones.
  *
  * Cheap servers of a domain can all be taken away at once, with seconds of notice. They are therefore spread evenly, and
- * there are enough that the loss of one domain's leaves the number needed; each domain keeps [ORDINARY_RESERVE] ordinary
- * ones. Where cheap ones were refused, ordinary ones take their place until [REFUSAL_LASTS] is over. Ordinary servers
+ * there are enough that the loss of one domain's leaves the number needed; a share of [ORDINARY_SHARE] is ordinary.
+ * Where cheap ones were refused, other domains' take their place until [REFUSAL_LASTS] is over. Ordinary servers
  * are given back only when the cheap ones that replace them serve.
  */
 class ServerPlan(
@@ -31,37 +32,24 @@
         needed: Int,
         now: List<DomainServers>,
     ): Map<FailureDomainId, WantedCounts> {
-        val domains = now.sortedWith(compareBy({ price(it.domain) }, { it.domain.value }))
-        val available = domains.filter { !refused(it.domain) }
-        if (limits.cheapPrice == null || available.isEmpty()) return ordinaryOnly(needed, domains)
-        val cheap = cheapCounts(needed, available)
-        val ready = now.sumOf { minOf(it.cheap, cheap[it.domain] ?: 0) }
-        val missing = (needed - ready - domains.size * ORDINARY_RESERVE).coerceAtLeast(0)
-        val ordinary = spread(domains.size * ORDINARY_RESERVE + missing, domains.map { it.domain })
-        return domains.associate { servers ->
-            val wantedCheap = cheap[servers.domain] ?: 0
-            val wantedOrdinary = ordinary.getValue(servers.domain)
-            servers.domain to bounded(wantedOrdinary, wantedCheap)
-        }
+        val domains = now.sortedWith(compareBy({ price(it.domain) }, { it.domain.value })).map { it.domain }
+        val cheapDomains = domains.filter { !refused(it) }
+        if (limits.cheapPrice == null || cheapDomains.isEmpty()) return spread(needed, domains).mapValues { bounded(it.value, 0) }
+        val reserve = ceil(needed * ORDINARY_SHARE).toInt()
+        val cheap = spread(withReserve(needed - reserve, cheapDomains.size), cheapDomains)
+        val serving = now.sumOf { minOf(it.cheap, cheap[it.domain] ?: 0) }
+        val ordinary = spread((needed - serving).coerceAtLeast(reserve), domains)
+        return domains.associateWith { bounded(ordinary.getValue(it), cheap[it] ?: 0) }
     }
 
-    private fun cheapCounts(
+    private fun withReserve(
         needed: Int,
-        available: List<DomainServers>,
-    ): Map<FailureDomainId, Int> {
-        val others = (available.size - 1).coerceAtLeast(1)
-        val replaceable = (needed - available.size * ORDINARY_RESERVE).coerceAtLeast(0)
-        val withReserve = replaceable + (replaceable + others - 1) / others
-        return spread(withReserve, available.map { it.domain })
+        domains: Int,
+    ): Int {
+        val others = (domains - 1).coerceAtLeast(1)
+        return needed + (needed + others - 1) / others
     }
 
-    private fun ordinaryOnly(
-        needed: Int,
-        domains: List<DomainServers>,
-    ): Map<FailureDomainId, WantedCounts> =
-        spread(maxOf(needed, domains.size * ORDINARY_RESERVE), domains.map { it.domain })
-            .mapValues { (_, count) -> bounded(count, 0) }
-
     /** Divides [total] evenly; the first domains, which are the cheapest, get what is left over. */
     private fun spread(
         total: Int,
@@ -76,8 +64,8 @@
         ordinary: Int,
         cheap: Int,
     ): WantedCounts {
-        val limitedOrdinary = ordinary.coerceAtMost(limits.maximumServers)
-        val limitedCheap = cheap.coerceAtMost(limits.maximumServers - limitedOrdinary)
+        val limitedCheap = cheap.coerceAtMost(limits.maximumServers)
+        val limitedOrdinary = ordinary.coerceAtMost(limits.maximumServers - limitedCheap)
         val missing = (limits.minimumServers - limitedOrdinary - limitedCheap).coerceAtLeast(0)
         return WantedCounts(limitedOrdinary + missing, limitedCheap)
     }
@@ -87,8 +75,8 @@
     private fun refused(domain: FailureDomainId): Boolean = refusedUntil[domain]?.let { it > clock.markNow() } ?: false
 
     companion object {
-        /** One server in each domain that cannot be reclaimed. */
-        const val ORDINARY_RESERVE = 1
+        /** Ordinary servers stay when the cheap ones of all domains are taken away: enough for the most urgent work. */
+        const val ORDINARY_SHARE = 0.15
 
         /** Reclaimed capacity stays away for several seconds; asking again costs one call. */
         val REFUSAL_LASTS: Duration = 3.seconds
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ControlPart.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ControlPart.kt
@@ -147,7 +147,7 @@
                 timeout,
                 log,
             )
-        val scaling = ScalingDuty(settings.vmId, native, lease, view, clock, timeout, log)
+        val scaling = ScalingDuty(settings.vmId, native, lease, view, ScalingBaselines(store), clock, timeout, log)
         val loop = DutyLoop(lease, fleet, usage, scaling) { duty -> scale(duty) }
         return lease to loop
     }
--- /dev/null
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ScalingBaselines.kt
@@ -0,0 +1,40 @@
+package io.tarragonport.daemon.gateway.control
+
+import io.tarragonport.api.id.ServiceId
+import io.tarragonport.api.platform.ObjectStore
+import io.tarragonport.api.platform.PlatformError
+import io.tarragonport.api.platform.PutCondition
+
+/**
+ * The number of servers that each scaled service had when this system first looked: the operator's own estimate of what
+ * its bursts need. It is kept in the store, so that a later holder of the duty does not take its predecessor's orders
+ * for it.
+ */
+internal class ScalingBaselines(
+    private val store: ObjectStore,
+) {
+    private val known = mutableMapOf<ServiceId, Int>()
+
+    /** The baseline of [service], which becomes [present] if it has none; null if the store does not say. */
+    suspend fun of(
+        service: ServiceId,
+        present: Int,
+    ): Int? {
+        known[service]?.let { return it }
+        val name = "$PREFIX$service"
+        val value =
+            store.put(name, "{\"servers\":$present}", PutCondition.Absent).fold(
+                { error -> if (error is PlatformError.Conflict) read(name) else null },
+                { present },
+            )
+        return value?.also { known[service] = it }
+    }
+
+    private suspend fun read(name: String): Int? =
+        store.get(name).getOrNull()?.let { FORM.find(it.value)?.groupValues?.get(1)?.toIntOrNull() }
+
+    private companion object {
+        const val PREFIX = "scaling-baselines/"
+        val FORM = Regex("\"servers\":(\\d+)")
+    }
+}
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ScalingDuty.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ScalingDuty.kt
@@ -30,6 +30,7 @@
     private val duties: DutyInterface,
     private val lease: LeaseGuard,
     private val view: FleetView,
+    private val baselines: ScalingBaselines,
     private val clock: TimeSource.WithComparableMarks,
     private val orderTimeout: Duration,
     private val log: ControlLog,
@@ -45,6 +46,7 @@
         val need: EngineNeed,
     )
 
+    private val started = clock.markNow()
     private val plans = mutableMapOf<ServiceId, Plan>()
     private val sent = mutableMapOf<ServerCountOrder, Sent>()
 
@@ -70,9 +72,11 @@
         domains: Collection<FailureDomainId>,
     ) {
         val known = plans[service]?.takeIf { it.limits == limits }
-        val serves = servers.count { !it.leaving }
-        val plan = known ?: Plan(limits, ServerPlan(limits, clock), EngineNeed(clock, serves)).also { plans[service] = it }
-        val needed = plan.need.update(view.demand(service)).coerceAtLeast(LEAST_SERVERS)
+        val present = servers.count { !it.leaving }
+        if (started.elapsedNow() < OBSERVED_BEFORE_ORDERS || present == 0) return
+        val baseline = baselines.of(service, present) ?: return
+        val plan = known ?: Plan(limits, ServerPlan(limits, clock), EngineNeed(clock)).also { plans[service] = it }
+        val needed = maxOf(plan.need.update(view.demand(service)), baseline)
         val serving = domains.map { domain -> count(domain, servers) }
         val wanted = plan.plan.wanted(needed, serving)
         serving.forEach { there ->
@@ -118,7 +122,7 @@
         /** Time after the start time of a server until it is registered and known here. */
         val ARRIVAL_SLACK: Duration = 2.5.seconds
 
-        /** With fewer servers, the loss of one failure domain would leave too little for a burst. */
-        const val LEAST_SERVERS = 6
+        /** Servers that start together with this system register within five seconds. */
+        val OBSERVED_BEFORE_ORDERS: Duration = 6.seconds
     }
 }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Exchange.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Exchange.kt
@@ -9,6 +9,7 @@
 import io.tarragonport.api.id.ServiceId
 import io.tarragonport.core.gateway.attempt.AttemptHistory
 import io.tarragonport.core.gateway.attempt.AttemptOutcome
+import io.tarragonport.core.gateway.balance.SelectionRequest
 import io.tarragonport.core.gateway.balance.ServerChoice
 import io.tarragonport.core.gateway.balance.ServerState
 import io.tarragonport.core.gateway.route.RouteDecision
@@ -50,6 +51,7 @@
     /** Begins to handle the request. */
     fun start() {
         state.budget(service).requestArrived()
+        request.metadata.prompt?.let { state.prompts.add(service, route.name, it.promptTokens) }
         timeout = schedule(deadline - state.now(), ::timedOut)
         if (!dispatch()) waitForServer()
     }
@@ -132,13 +134,16 @@
         val gatewayService = state.service(service) ?: return false
         val limit = state.connectionLimit(gatewayService)
         val choice =
-            state.selector.choose(service, request.metadata.prompt, state.now()) {
+            state.selector.choose(selection(), state.now()) {
                 !history.contains(it.registered.id) && state.pools.of(it.registered).available(limit)
             } ?: return false
         send(choice)
         return true
     }
 
+    private fun selection() =
+        SelectionRequest(service, request.metadata.prompt, state.prompts.short(service, route.name))
+
     private fun send(choice: ServerChoice) {
         val server = choice.server
         val started = Attempt(choice, state.loop, route.repeatability.streams, attemptLimits(), this)
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/TrafficState.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/TrafficState.kt
@@ -2,10 +2,10 @@
 
 import io.netty.channel.EventLoop
 import io.tarragonport.api.gateway.GatewayService
-import io.tarragonport.api.id.OrganisationId
 import io.tarragonport.api.id.ServiceId
 import io.tarragonport.api.settings.GatewaySettings
 import io.tarragonport.core.gateway.attempt.AttemptPolicy
+import io.tarragonport.core.gateway.balance.PromptProfile
 import io.tarragonport.core.gateway.balance.ServerBoard
 import io.tarragonport.core.gateway.balance.ServerSelector
 import io.tarragonport.core.gateway.route.ConfigurationInForce
@@ -34,6 +34,7 @@
 
     val board = ServerBoard()
     val selector = ServerSelector(board, settings.failureDomain)
+    val prompts = PromptProfile()
     val pools = ConnectionPools(loop, clock)
     val waiting = WaitingLine<Exchange>()
     private val budgets = HashMap<ServiceId, RetryBudget>()
