Test the gateway's decisions and mend two faults that the tests found

Cause: (1) the load meter moved its reading mark before it settled the running requests, so requests in flight counted only from their last change; the need for engines was understated. (2) the event splitter cut between the carriage return and the line feed of an event's end, so a stream with such line ends would have seemed unfinished.

--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/fleet/ServiceDemandMeter.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/fleet/ServiceDemandMeter.kt
@@ -35,14 +35,16 @@
     fun read(): Map<ServiceId, ServiceDemand> {
         val now = clock.markNow()
         val seconds = (now - readAt).toDouble(DurationUnit.SECONDS).coerceAtLeast(SHORTEST_SECONDS)
+        val demands =
+            counts.mapValues { (service, count) ->
+                change(service, 0) {}
+                val demand = ServiceDemand(count.readTokens / seconds, count.busy / seconds)
+                count.readTokens = 0
+                count.busy = 0.0
+                demand
+            }
         readAt = now
-        return counts.mapValues { (service, count) ->
-            change(service, 0) {}
-            val demand = ServiceDemand(count.readTokens / seconds, count.busy / seconds)
-            count.readTokens = 0
-            count.busy = 0.0
-            demand
-        }
+        return demands
     }
 
     private inline fun change(
--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/stream/EventSplitter.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/stream/EventSplitter.kt
@@ -11,6 +11,7 @@
     private val pending = ByteArrayOutputStream()
     private val line = StringBuilder()
     private var carriageReturn = false
+    private var eventEnded = false
     private var id: String? = null
 
     /** The id of the last event that was returned by [add]. */
@@ -41,12 +42,14 @@
         val character = byte.toInt().toChar()
         if (character != '\n' && character != '\r') {
             carriageReturn = false
+            eventEnded = false
             if (line.length < LONGEST_ID_LINE) line.append(character)
             return false
         }
         val continuesLineEnd = character == '\n' && carriageReturn
         carriageReturn = character == '\r'
-        return if (continuesLineEnd) false else endOfLine()
+        if (!continuesLineEnd) eventEnded = endOfLine()
+        return eventEnded
     }
 
     private fun endOfLine(): Boolean {
--- /dev/null
+++ b/tarragonport-core/src/test/kotlin/io/tarragonport/core/gateway/balance/ServerSelectorTest.kt
@@ -0,0 +1,122 @@
+package io.tarragonport.core.gateway.balance
+
+import io.tarragonport.api.id.FailureDomainId
+import io.tarragonport.core.gateway.Samples
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TestTimeSource
+
+/** Load patterns: shared prompts that several engines would read again, and quick chats beside long reviews. */
+class ServerSelectorTest {
+    private val clock = TestTimeSource()
+
+    private fun board(count: Int): ServerBoard {
+        val board = ServerBoard()
+        board.configure(listOf(Samples.engineService()))
+        board.update((1..count).map { Samples.server("s$it", domain = listOf("a", "b", "c")[it % 3]) })
+        return board
+    }
+
+    private fun choose(
+        board: ServerBoard,
+        shared: String,
+        short: Boolean = false,
+        domain: String = "a",
+        usable: (ServerState) -> Boolean = { true },
+    ): ServerChoice? {
+        val prompt = if (short) Samples.prompt(300, 1_000, shared) else Samples.prompt(13_000, 4_000, shared)
+        val request = SelectionRequest(Samples.ENGINES, prompt, short)
+        return ServerSelector(board, FailureDomainId(domain)).choose(request, clock.markNow(), usable)
+    }
+
+    @Test
+    fun `each shared prompt has one engine on every VM`() {
+        (1..50).forEach { number ->
+            val chosen = listOf("a", "b", "c").map { choose(board(12), "part-$number", domain = it)?.server?.registered?.id }
+            assertEquals(1, chosen.toSet().size, "part-$number")
+        }
+    }
+
+    @Test
+    fun `shared prompts are spread over the engines for long prompts`() {
+        val board = board(12)
+        val counts = (1..400).mapNotNull { choose(board, "part-$it")?.server?.registered?.id }.groupingBy { it }.eachCount()
+        val engines = 12 - board.shortPromptEngines(Samples.ENGINES).size
+        assertEquals(engines, counts.size)
+        assertTrue(counts.values.max() < 3 * 400 / engines, "$counts")
+    }
+
+    @Test
+    fun `a busy engine gives way`() {
+        val board = board(12)
+        val first = assertNotNull(choose(board, "part")).server
+        repeat(40) { first.started(13_000) }
+        assertTrue(choose(board, "part")?.server != first)
+    }
+
+    @Test
+    fun `short and long prompts use different engines until one group is busy`() {
+        val board = board(12)
+        val forShort = board.shortPromptEngines(Samples.ENGINES)
+        assertEquals(3, forShort.size)
+        assertEquals(3, board.all.filter { it.registered.id in forShort }.map { it.registered.domain }.toSet().size)
+        (1..50).forEach { number ->
+            assertTrue(choose(board, "chat-$number", short = true)!!.server.registered.id in forShort)
+            assertTrue(choose(board, "review-$number")!!.server.registered.id !in forShort)
+        }
+        board.all.filter { it.registered.id in forShort }.forEach { engine -> repeat(5) { engine.started(5_000) } }
+        assertTrue(choose(board, "chat", short = true)!!.server.registered.id !in forShort)
+    }
+
+    @Test
+    fun `few engines are not divided`() {
+        assertEquals(emptySet(), board(4).shortPromptEngines(Samples.ENGINES))
+    }
+
+    @Test
+    fun `a server that failed lately is avoided and then tried again`() {
+        val board = board(12)
+        val first = assertNotNull(choose(board, "part")).server
+        repeat(4) { first.health.failed(clock.markNow()) }
+        assertTrue(choose(board, "part")?.server != first)
+        clock += 30_000.milliseconds
+        assertEquals(first, choose(board, "part")?.server)
+    }
+
+    @Test
+    fun `leaving, closed and excluded servers get nothing`() {
+        val board = ServerBoard()
+        board.configure(listOf(Samples.engineService()))
+        board.update(listOf(Samples.server("s1", leaving = true), Samples.server("s2"), Samples.server("s3")))
+        val closed = board.all.first { it.registered.id.value == "s2" }
+        closed.closeUntil(clock.markNow() + 50.milliseconds)
+        assertEquals("s3", choose(board, "part")?.server?.registered?.id?.value)
+        assertNull(choose(board, "part") { it.registered.id.value != "s3" })
+        clock += 60.milliseconds
+        assertEquals("s2", choose(board, "part") { it.registered.id.value != "s3" }?.server?.registered?.id?.value)
+    }
+
+    @Test
+    fun `a server that starts again under its id is a new one`() {
+        val board = ServerBoard()
+        board.update(listOf(Samples.server("s1", startedAtMs = 1)))
+        val before = board.all.single()
+        before.started(100)
+        val ended = board.update(listOf(Samples.server("s1", startedAtMs = 2)))
+        assertEquals(listOf(before), ended)
+        assertEquals(0, board.all.single().inFlight)
+    }
+
+    @Test
+    fun `the cache view forgets what the engine drops`() {
+        val view = PromptCacheView()
+        view.capacityTokens = 30_000
+        val prompts = (1..3).map { Samples.prompt(13_000, 100, "part-$it").sharedParts }
+        prompts.forEach(view::sent)
+        assertEquals(listOf(0, 13_000, 13_000), prompts.map(view::knownTokens))
+    }
+}
--- /dev/null
+++ b/tarragonport-core/src/test/kotlin/io/tarragonport/core/gateway/fleet/FleetViewTest.kt
@@ -0,0 +1,115 @@
+package io.tarragonport.core.gateway.fleet
+
+import io.tarragonport.api.id.Incarnation
+import io.tarragonport.api.id.OrganisationId
+import io.tarragonport.api.id.ServiceId
+import io.tarragonport.api.id.VmId
+import io.tarragonport.core.gateway.usage.SteadyWallClock
+import io.tarragonport.core.gateway.usage.WindowMeter
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+import kotlin.time.TestTimeSource
+
+/** Counts of a VM that ended must still be billed, and its load must no longer be planned for. */
+class FleetViewTest {
+    private val clock = TestTimeSource()
+    private val view = FleetView(clock)
+    private val organisation = OrganisationId("o")
+    private val service = ServiceId("s")
+
+    private fun record(
+        vm: String,
+        incarnation: Long,
+        beat: Long,
+        count: Long,
+    ) = VmRecord(
+        VmId(vm),
+        Incarnation(incarnation),
+        "10.0.0.1",
+        beat,
+        mapOf(5L to mapOf(organisation to count)),
+        mapOf(service to ServiceDemand(100.0, 2.0)),
+    )
+
+    @Test
+    fun `usage of all incarnations counts and load of live VMs only`() {
+        view.update(mapOf("v1-1" to record("v1", 1, 1, 3), "v2-1" to record("v2", 1, 1, 4)))
+        clock += 5.seconds
+        view.update(
+            mapOf("v1-1" to record("v1", 1, 1, 3), "v1-2" to record("v1", 2, 1, 1), "v2-1" to record("v2", 1, 2, 6)),
+        )
+        clock += 2.seconds
+        assertEquals(mapOf(organisation to 10L), view.usage(5))
+        assertEquals(listOf("v1" to 2L, "v2" to 1L), view.live().map { it.vm.value to it.incarnation.value }.sortedBy { it.first })
+        assertEquals(ServiceDemand(200.0, 4.0), view.demand(service))
+    }
+
+    @Test
+    fun `a record that no longer changes is a VM that ended`() {
+        view.update(mapOf("v1-1" to record("v1", 1, 1, 3)))
+        clock += FleetView.LIVE_FOR
+        assertEquals(emptyList(), view.live())
+        assertEquals(emptyList(), view.outdated())
+        clock += FleetView.KEPT_FOR
+        assertEquals(listOf("v1-1"), view.outdated())
+    }
+
+    @Test
+    fun `load is measured between two readings`() {
+        val meter = ServiceDemandMeter(clock)
+        meter.started(service, 1_000)
+        clock += 1.seconds
+        meter.started(service, 3_000)
+        clock += 1.seconds
+        assertEquals(ServiceDemand(2_000.0, 1.5), meter.read().getValue(service))
+        meter.ended(service)
+        clock += 2.seconds
+        assertEquals(ServiceDemand(0.0, 1.0), meter.read().getValue(service))
+    }
+
+    @Test
+    fun `windows are counted by true time and steps of the clock do not move them`() {
+        val wall = MovingClock(clock)
+        val steady = SteadyWallClock(wall, clock)
+        val meter = WindowMeter(5.seconds)
+        data class Case(
+            val passes: Duration,
+            val step: Duration,
+            val window: Long,
+        )
+        listOf(
+            Case(1.seconds, Duration.ZERO, 200),
+            Case(1.seconds, 2_400.milliseconds, 200),
+            Case(1.seconds, (-7).seconds, 200),
+            Case(3.seconds, Duration.ZERO, 201),
+        ).forEach { case ->
+            clock += case.passes
+            wall.step = case.step
+            assertEquals(case.window, meter.windowAt(steady.now()), "$case")
+        }
+    }
+
+    @Test
+    fun `a step that stays is taken over`() {
+        val wall = MovingClock(clock)
+        val steady = SteadyWallClock(wall, clock)
+        wall.step = 10.seconds
+        steady.now()
+        clock += 31.seconds
+        assertEquals(wall.now(), steady.now().also { steady.now() }.let { steady.now() })
+    }
+
+    private class MovingClock(
+        time: TestTimeSource,
+    ) : Clock {
+        private val start = time.markNow()
+        var step = Duration.ZERO
+
+        override fun now(): Instant = Instant.fromEpochSeconds(1_000) + start.elapsedNow() + step
+    }
+}
--- /dev/null
+++ b/tarragonport-core/src/test/kotlin/io/tarragonport/core/gateway/stream/EventSplitterTest.kt
@@ -0,0 +1,43 @@
+package io.tarragonport.core.gateway.stream
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+/** An event that a server cut in the middle must never be passed on as a whole one. */
+class EventSplitterTest {
+    private data class Case(
+        val parts: List<String>,
+        val passed: List<String?>,
+        val lastId: String?,
+        val unfinished: Boolean,
+    )
+
+    @Test
+    fun `only whole events are passed on`() {
+        listOf(
+            Case(listOf("id: 1\ndata: a\n\n"), listOf("id: 1\ndata: a\n\n"), "1", false),
+            Case(listOf("id: 1\nda", "ta: a\n", "\n"), listOf(null, null, "id: 1\ndata: a\n\n"), "1", false),
+            Case(listOf("id: 1\n\nid: 2\nda"), listOf("id: 1\n\n"), "1", true),
+            Case(listOf("id: 1\r\ndata: a\r\n\r\n"), listOf("id: 1\r\ndata: a\r\n\r\n"), "1", false),
+            Case(listOf("id:7\n\n", "data: no id\n\n"), listOf("id:7\n\n", "data: no id\n\n"), "7", false),
+            Case(listOf("data: " + "x".repeat(500)), listOf(null), null, true),
+        ).forEach { case ->
+            val splitter = EventSplitter()
+            val passed = case.parts.map { splitter.add(it.toByteArray())?.decodeToString() }
+            assertEquals(case.passed, passed, "$case")
+            assertEquals(case.lastId, splitter.lastId, "$case")
+            assertEquals(case.unfinished, splitter.unfinished, "$case")
+        }
+    }
+
+    @Test
+    fun `cutting the bytes anywhere passes the same events`() {
+        val text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n"
+        (1 until text.length).forEach { cut ->
+            val splitter = EventSplitter()
+            val passed = listOf(text.take(cut), text.drop(cut)).mapNotNull { splitter.add(it.toByteArray()) }
+            assertEquals(text, passed.joinToString("") { it.decodeToString() }, "cut at $cut")
+            assertEquals("3", splitter.lastId)
+        }
+    }
+}
