--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerBoard.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerBoard.kt
@@ -66,7 +66,9 @@
         now: RegisteredServer?,
     ): Boolean {
         val before = state.registered
-        return now == null || now.startedAtMs != before.startedAtMs || now.address != before.address ||
+        return now == null ||
+            now.startedAtMs != before.startedAtMs ||
+            now.address != before.address ||
             now.service != before.service
     }
 
--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerSelector.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerSelector.kt
@@ -28,7 +28,13 @@
         val candidates = board.servers(request.service).filter { it.open(now) && usable(it) }
         val prompt = request.prompt?.takeIf { board.engine(request.service) != null }
         val scored =
-            if (prompt == null) candidates.map { plainScore(it, now) } else engineScores(prompt, request, candidates, now)
+            if (prompt ==
+                null
+            ) {
+                candidates.map { plainScore(it, now) }
+            } else {
+                engineScores(prompt, request, candidates, now)
+            }
         return scored.minByOrNull { it.score }?.copy(candidates = candidates.size)
     }
 
@@ -43,7 +49,14 @@
         val preferred = preferred(prompt, ownGroup.ifEmpty { candidates })
         return candidates.map { state ->
             val other = forShort.isNotEmpty() && (state.registered.id in forShort) != request.shortPrompt
-            val crossing = if (!other) 0.0 else if (request.shortPrompt) SHORT_CROSSING_MS else LONG_CROSSING_MS
+            val crossing =
+                if (!other) {
+                    0.0
+                } else if (request.shortPrompt) {
+                    SHORT_CROSSING_MS
+                } else {
+                    LONG_CROSSING_MS
+                }
             engineScore(state, prompt, now, preferred, crossing)
         }
     }
--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/fleet/FleetView.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/fleet/FleetView.kt
@@ -47,7 +47,9 @@
     fun usage(window: Long): Map<OrganisationId, Long> {
         val totals = mutableMapOf<OrganisationId, Long>()
         byName.values.forEach { seen ->
-            seen.record.windows[window]?.forEach { (organisation, count) -> totals.merge(organisation, count, Long::plus) }
+            seen.record.windows[window]?.forEach { (organisation, count) ->
+                totals.merge(organisation, count, Long::plus)
+            }
         }
         return totals
     }
--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/fleet/ServiceDemand.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/fleet/ServiceDemand.kt
@@ -8,8 +8,7 @@
     val readTokens: Double,
     val inFlight: Double,
 ) {
-    operator fun plus(other: ServiceDemand) =
-        ServiceDemand(readTokens + other.readTokens, inFlight + other.inFlight)
+    operator fun plus(other: ServiceDemand) = ServiceDemand(readTokens + other.readTokens, inFlight + other.inFlight)
 
     companion object {
         val NONE = ServiceDemand(0.0, 0.0)
--- a/tarragonport-core/src/test/kotlin/io/tarragonport/core/gateway/balance/ServerSelectorTest.kt
+++ b/tarragonport-core/src/test/kotlin/io/tarragonport/core/gateway/balance/ServerSelectorTest.kt
@@ -36,7 +36,12 @@
     @Test
     fun `each shared prompt has one engine on every VM`() {
         (1..50).forEach { number ->
-            val chosen = listOf("a", "b", "c").map { choose(board(12), "part-$number", domain = it)?.server?.registered?.id }
+            val chosen =
+                listOf(
+                    "a",
+                    "b",
+                    "c",
+                ).map { choose(board(12), "part-$number", domain = it)?.server?.registered?.id }
             assertEquals(1, chosen.toSet().size, "part-$number")
         }
     }
@@ -44,7 +49,15 @@
     @Test
     fun `shared prompts are spread over the engines for long prompts`() {
         val board = board(12)
-        val counts = (1..400).mapNotNull { choose(board, "part-$it")?.server?.registered?.id }.groupingBy { it }.eachCount()
+        val counts =
+            (1..400)
+                .mapNotNull {
+                    choose(
+                        board,
+                        "part-$it",
+                    )?.server?.registered?.id
+                }.groupingBy { it }
+                .eachCount()
         val engines = 12 - board.shortPromptEngines(Samples.ENGINES).size
         assertEquals(engines, counts.size)
         assertTrue(counts.values.max() < 3 * 400 / engines, "$counts")
@@ -63,7 +76,14 @@
         val board = board(12)
         val forShort = board.shortPromptEngines(Samples.ENGINES)
         assertEquals(3, forShort.size)
-        assertEquals(3, board.all.filter { it.registered.id in forShort }.map { it.registered.domain }.toSet().size)
+        assertEquals(
+            3,
+            board.all
+                .filter { it.registered.id in forShort }
+                .map { it.registered.domain }
+                .toSet()
+                .size,
+        )
         (1..50).forEach { number ->
             assertTrue(choose(board, "chat-$number", short = true)!!.server.registered.id in forShort)
             assertTrue(choose(board, "review-$number")!!.server.registered.id !in forShort)
@@ -94,10 +114,24 @@
         board.update(listOf(Samples.server("s1", leaving = true), Samples.server("s2"), Samples.server("s3")))
         val closed = board.all.first { it.registered.id.value == "s2" }
         closed.closeUntil(clock.markNow() + 50.milliseconds)
-        assertEquals("s3", choose(board, "part")?.server?.registered?.id?.value)
+        assertEquals(
+            "s3",
+            choose(board, "part")
+                ?.server
+                ?.registered
+                ?.id
+                ?.value,
+        )
         assertNull(choose(board, "part") { it.registered.id.value != "s3" })
         clock += 60.milliseconds
-        assertEquals("s2", choose(board, "part") { it.registered.id.value != "s3" }?.server?.registered?.id?.value)
+        assertEquals(
+            "s2",
+            choose(board, "part") { it.registered.id.value != "s3" }
+                ?.server
+                ?.registered
+                ?.id
+                ?.value,
+        )
     }
 
     @Test
--- a/tarragonport-core/src/test/kotlin/io/tarragonport/core/gateway/fleet/FleetViewTest.kt
+++ b/tarragonport-core/src/test/kotlin/io/tarragonport/core/gateway/fleet/FleetViewTest.kt
@@ -45,7 +45,14 @@
         )
         clock += 2.seconds
         assertEquals(mapOf(organisation to 10L), view.usage(5))
-        assertEquals(listOf("v1" to 2L, "v2" to 1L), view.live().map { it.vm.value to it.incarnation.value }.sortedBy { it.first })
+        assertEquals(
+            listOf("v1" to 2L, "v2" to 1L),
+            view
+                .live()
+                .map {
+                    it.vm.value to it.incarnation.value
+                }.sortedBy { it.first },
+        )
         assertEquals(ServiceDemand(200.0, 4.0), view.demand(service))
     }
 
@@ -77,6 +84,7 @@
         val wall = MovingClock(clock)
         val steady = SteadyWallClock(wall, clock)
         val meter = WindowMeter(5.seconds)
+
         data class Case(
             val passes: Duration,
             val step: Duration,
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ControlPart.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ControlPart.kt
@@ -75,7 +75,8 @@
     private val incarnation = Incarnation(Clock.System.now().toEpochMilliseconds())
     private val view = FleetView(clock)
     private val record = VmRecordLoop("$RECORDS${settings.vmId}-$incarnation", store, log, ::ownRecord)
-    private val fleet = FleetLoop(RECORDS, store, store, view, log) { live -> onTraffic { it.liveVms = maxOf(live, 1) } }
+    private val fleet =
+        FleetLoop(RECORDS, store, store, view, log) { live -> onTraffic { it.liveVms = maxOf(live, 1) } }
     private val duties = settings.dutyUrl?.let { dutyLoop(PlatformHttp(it, DUTY_TIMEOUTS), clock) }
 
     /** Where the traffic thread counts what it sends and what began to run. */
@@ -154,7 +155,14 @@
 
     private suspend fun scale(duty: ScalingDuty) {
         val services = configuration.inForce?.services?.values ?: return
-        val domains = services.flatMap { it.scaling?.domainPrices?.keys.orEmpty() }.toSet()
+        val domains =
+            services
+                .flatMap {
+                    it.scaling
+                        ?.domainPrices
+                        ?.keys
+                        .orEmpty()
+                }.toSet()
         duty.run(services, servers.known, domains)
     }
 
@@ -189,7 +197,6 @@
         /** The platform's duties answer in milliseconds; a slow one needs up to half a second. */
         val DUTY_TIMEOUTS = PlatformTimeouts(connect = 400.milliseconds, call = 1.seconds, order = 1.seconds)
 
-
         /** The store answers in milliseconds; a slow one needs up to half a second. */
         val STORE_TIMEOUTS =
             PlatformTimeouts(connect = 500.milliseconds, call = 1.5.seconds, watchSlack = 1.seconds)
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/KindWatch.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/KindWatch.kt
@@ -1,7 +1,6 @@
 package io.tarragonport.daemon.gateway.control
 
 import io.tarragonport.api.id.ObjectVersion
-import io.tarragonport.api.platform.ObjectEntry
 import io.tarragonport.api.platform.ObjectListing
 import io.tarragonport.api.platform.ObjectStore
 import io.tarragonport.api.platform.PlatformError
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ScalingBaselines.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ScalingBaselines.kt
@@ -31,7 +31,13 @@
     }
 
     private suspend fun read(name: String): Int? =
-        store.get(name).getOrNull()?.let { FORM.find(it.value)?.groupValues?.get(1)?.toIntOrNull() }
+        store.get(name).getOrNull()?.let {
+            FORM
+                .find(it.value)
+                ?.groupValues
+                ?.get(1)
+                ?.toIntOrNull()
+        }
 
     private companion object {
         const val PREFIX = "scaling-baselines/"
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ScalingDuty.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ScalingDuty.kt
@@ -56,7 +56,9 @@
         servers: Collection<RegisteredServer>,
         domains: Collection<FailureDomainId>,
     ) = services.forEach { service ->
-        service.scaling?.let { limits -> adjust(service.id, limits, servers.filter { it.service == service.id }, domains) }
+        service.scaling?.let { limits ->
+            adjust(service.id, limits, servers.filter { it.service == service.id }, domains)
+        }
     }
 
     /** Forgets what was ordered: another VM may order in between. */
@@ -75,7 +77,8 @@
         val present = servers.count { !it.leaving }
         if (started.elapsedNow() < OBSERVED_BEFORE_ORDERS || present == 0) return
         val baseline = baselines.of(service, present) ?: return
-        val plan = known ?: Plan(limits, ServerPlan(limits, baseline, clock), EngineNeed(clock)).also { plans[service] = it }
+        val plan =
+            known ?: Plan(limits, ServerPlan(limits, baseline, clock), EngineNeed(clock)).also { plans[service] = it }
         val needed = plan.need.update(view.demand(service))
         val serving = domains.map { domain -> count(domain, servers) }
         val wanted = plan.plan.wanted(needed, serving)
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/ServerConnection.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/ServerConnection.kt
@@ -173,9 +173,18 @@
     }
 
     private fun noteIdleLimit(response: HttpResponse) {
-        reusable = reusable && HttpUtil.isKeepAlive(response) &&
+        reusable = reusable &&
+            HttpUtil.isKeepAlive(response) &&
             (HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response))
-        val announced = response.headers().get(KEEP_ALIVE)?.let { TIMEOUT.find(it) }?.groupValues?.get(1)?.toLongOrNull()
+        val announced =
+            response
+                .headers()
+                .get(
+                    KEEP_ALIVE,
+                )?.let { TIMEOUT.find(it) }
+                ?.groupValues
+                ?.get(1)
+                ?.toLongOrNull()
         idleLimit = announced?.let { it.seconds - IDLE_MARGIN } ?: UNANNOUNCED_IDLE_LIMIT
     }
 
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Attempt.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Attempt.kt
@@ -164,7 +164,11 @@
     }
 
     private fun isEventStream(response: HttpResponse): Boolean =
-        response.headers().get(HttpHeaderNames.CONTENT_TYPE).orEmpty().startsWith("text/event-stream")
+        response
+            .headers()
+            .get(HttpHeaderNames.CONTENT_TYPE)
+            .orEmpty()
+            .startsWith("text/event-stream")
 
     private fun expectWithin(limit: Duration?) {
         silence?.cancel(false)
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Exchange.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Exchange.kt
@@ -87,7 +87,15 @@
             return
         }
         finish("answered", "status" to answer.status, "server" to attempt.server.registered.id)
-        caller.answer(answer.status, ForwardedHeaders.toCaller(answer.headers, withLength = answer.body.readableBytes() == 0), answer.body)
+        caller.answer(
+            answer.status,
+            ForwardedHeaders.toCaller(
+                answer.headers,
+                withLength =
+                    answer.body.readableBytes() == 0,
+            ),
+            answer.body,
+        )
     }
 
     override fun events(
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/GatewayIntake.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/GatewayIntake.kt
@@ -20,7 +20,6 @@
 ) : RequestIntake {
     private val connections = mutableSetOf<CallerConnection>()
 
-
     override val draining: Boolean get() = state.draining
 
     override fun now(): ComparableTimeMark = state.now()
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/MeasuringRequestLog.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/MeasuringRequestLog.kt
@@ -34,7 +34,12 @@
         kind: ErrorKind,
         method: String?,
         target: String?,
-    ) = logEvent(GatewayEvents.MALFORMED, "kind" to kind.code, "method" to method, "target" to target?.take(LONGEST_TARGET))
+    ) = logEvent(
+        GatewayEvents.MALFORMED,
+        "kind" to kind.code,
+        "method" to method,
+        "target" to target?.take(LONGEST_TARGET),
+    )
 
     override fun connectionFailed(cause: Throwable) =
         logEvent(GatewayEvents.CALLER_CONNECTION_FAILED, "reason" to cause.message)
@@ -53,10 +58,11 @@
         metrics.events.labelValues(event.name).inc()
         logger.atInfo {
             message = event.name
-            payload = buildMap {
-                put("event", event.number)
-                fields.forEach { (name, value) -> put(name, value?.toString()) }
-            }
+            payload =
+                buildMap {
+                    put("event", event.number)
+                    fields.forEach { (name, value) -> put(name, value?.toString()) }
+                }
         }
     }
 
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/TrafficState.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/TrafficState.kt
@@ -90,7 +90,6 @@
         /** Half of the shortest time for which a server is closed. */
         val WAITING_POLL: Duration = 25.milliseconds
 
-
         /** Part of the fleet's retry budget that is used, because windows of different VMs do not end together. */
         const val RETRY_SHARE = 0.7
 
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/CallerConnection.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/CallerConnection.kt
@@ -167,7 +167,11 @@
     private fun queue(message: HttpObject) {
         waiting.add(message)
         if (message is HttpContent) waitingBytes += message.content().readableBytes()
-        if (waitingBytes > WAITING_BYTES || waiting.size > WAITING_OBJECTS) context.channel().config().isAutoRead = false
+        if (waitingBytes > WAITING_BYTES ||
+            waiting.size > WAITING_OBJECTS
+        ) {
+            context.channel().config().isAutoRead = false
+        }
     }
 
     private fun take(message: HttpObject) {
@@ -196,7 +200,11 @@
                     refuse(ErrorKind.BODY_TOO_LARGE)
                 } else if (HttpUtil.is100ContinueExpected(request)) {
                     context.writeAndFlush(
-                        DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER),
+                        DefaultFullHttpResponse(
+                            HttpVersion.HTTP_1_1,
+                            HttpResponseStatus.CONTINUE,
+                            Unpooled.EMPTY_BUFFER,
+                        ),
                     )
                 }
             },
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/settings/GatewaySettingsRules.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/settings/GatewaySettingsRules.kt
@@ -17,7 +17,11 @@
             settings.dutyUrl?.let { url("duty_url", it) },
             fault("vm_id", settings.vmId.value.isBlank(), "must not be empty"),
             fault("failure_domain", settings.failureDomain.value.isBlank(), "must not be empty"),
-            fault("peer_ports", !validPorts(settings.peerPorts), "${settings.peerPorts} is not a first and a last port"),
+            fault(
+                "peer_ports",
+                !validPorts(settings.peerPorts),
+                "${settings.peerPorts} is not a first and a last port",
+            ),
             fault("metrics_port", settings.metricsPort !in PORTS, "${settings.metricsPort} is not a port"),
         ) +
             listOf(
--- a/tarragonport-standins/src/main/kotlin/io/tarragonport/standin/fleet/StoreStandIn.kt
+++ b/tarragonport-standins/src/main/kotlin/io/tarragonport/standin/fleet/StoreStandIn.kt
@@ -98,7 +98,13 @@
         }
 
     private suspend fun io.ktor.server.routing.RoutingContext.read(answer: suspend (ApplicationCall) -> Unit) {
-        if (fault == StoreFault.BUSY) call.respondText("busy", status = HttpStatusCode.ServiceUnavailable) else answer(call)
+        if (fault ==
+            StoreFault.BUSY
+        ) {
+            call.respondText("busy", status = HttpStatusCode.ServiceUnavailable)
+        } else {
+            answer(call)
+        }
     }
 
     private suspend fun list(call: ApplicationCall) {
--- a/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/GatewayAnswersTest.kt
+++ b/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/GatewayAnswersTest.kt
@@ -55,7 +55,15 @@
                 null,
             ),
             Case("bytes that are no answer", "/post/a", text { "garbage\r\n\r\n" }, 502, null),
-            Case("both lengths", "/post/a", text { ServerAnswers.plain(it, "x", extra = "Transfer-Encoding: chunked\r\n") }, 502, null),
+            Case(
+                "both lengths",
+                "/post/a",
+                text {
+                    ServerAnswers.plain(it, "x", extra = "Transfer-Encoding: chunked\r\n")
+                },
+                502,
+                null,
+            ),
             Case(
                 "no length, closed",
                 "/post/a",
--- a/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/GatewayRepeatsTest.kt
+++ b/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/GatewayRepeatsTest.kt
@@ -38,7 +38,13 @@
         listOf("s1", "s2", "s3").forEach { id ->
             fixture.server(FleetSamples.PLAIN, id) { call, socket ->
                 arrivals++
-                if (arrivals == 1) first(call, socket) else socket.getOutputStream().send(ServerAnswers.plain(call, "ok"))
+                if (arrivals ==
+                    1
+                ) {
+                    first(call, socket)
+                } else {
+                    socket.getOutputStream().send(ServerAnswers.plain(call, "ok"))
+                }
             }
         }
         fixture.start()
--- a/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/HostileRequestsTest.kt
+++ b/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/HostileRequestsTest.kt
@@ -47,7 +47,11 @@
             Case("absolute target", head("Content-Length: 0\r\n", target = "http://x/open/a"), 400),
             Case("headers too large", head("X-A: ${"a".repeat(9_000)}\r\nContent-Length: 0\r\n"), 431),
             Case("body too large", head("Content-Length: 70000\r\n"), 413),
-            Case("chunked body too large", head("Transfer-Encoding: chunked\r\n") + ("4000\r\n" + "x".repeat(16_384) + "\r\n").repeat(5), 413),
+            Case(
+                "chunked body too large",
+                head("Transfer-Encoding: chunked\r\n") + ("4000\r\n" + "x".repeat(16_384) + "\r\n").repeat(5),
+                413,
+            ),
             Case("half a head, then silence", "POST /open/a HT", 408),
             Case("half a body, then silence", head("Content-Length: 5\r\n") + "he", 408),
         )
@@ -74,7 +78,9 @@
         fixture.start()
         val three = (1..3).joinToString("") { head("Content-Length: $it\r\n", target = "/open/$it") + "x".repeat(it) }
         fixture.connect().use { socket ->
-            socket.getOutputStream().send(three + head("Connection: close\r\nTransfer-Encoding: chunked\r\n") + "4\r\nabcd\r\n0\r\n\r\n")
+            socket.getOutputStream().send(
+                three + head("Connection: close\r\nTransfer-Encoding: chunked\r\n") + "4\r\nabcd\r\n0\r\n\r\n",
+            )
             val answers = readAll(socket)
             val bodies = Regex("POST /open/\\w+ \\d+").findAll(answers).map { it.value }.toList()
             assertEquals(listOf("POST /open/1 1", "POST /open/2 2", "POST /open/3 3", "POST /open/a 4"), bodies)
@@ -96,7 +102,16 @@
     fun `headers that this system sets and the key never come from a caller`() {
         fixture.store.configure(FleetSamples.configuration())
         fixture.start()
-        val forged = listOf("x-tenant", "x-hold", "x-pin-ms", "kv-from", "x-kv-backup", "x-expect-instance", "x-request-priority")
+        val forged =
+            listOf(
+                "x-tenant",
+                "x-hold",
+                "x-pin-ms",
+                "kv-from",
+                "x-kv-backup",
+                "x-expect-instance",
+                "x-request-priority",
+            )
         fixture.send("/post/a", headers = forged.associateWith { "forged" } + ("X-Kept" to "kept"))
         val headers = server.received.single().headers
         assertTrue(headers.none { it.value == "forged" }, "$headers")
@@ -123,7 +138,9 @@
             }
         fixture.start()
         val socket = fixture.connect()
-        socket.getOutputStream().send(head("Content-Length: 0\r\nX-Api-Key: ${FleetSamples.KEY}\r\n", target = "/chat/a"))
+        socket.getOutputStream().send(
+            head("Content-Length: 0\r\nX-Api-Key: ${FleetSamples.KEY}\r\n", target = "/chat/a"),
+        )
         fixture.eventually("the request did not arrive") { waiting.received.isNotEmpty() }
         socket.close()
         fixture.eventually("the server still works") { closedAfter < 500 }
@@ -136,5 +153,10 @@
             "closed: ${exception.message}"
         }
 
-    private fun status(answers: String): Int? = Regex("HTTP/1.1 (\\d+)").find(answers)?.groupValues?.get(1)?.toInt()
+    private fun status(answers: String): Int? =
+        Regex("HTTP/1.1 (\\d+)")
+            .find(answers)
+            ?.groupValues
+            ?.get(1)
+            ?.toInt()
 }
