--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/Main.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/Main.kt
@@ -35,6 +35,7 @@
     daemon.start()
     stopped.await()
     runBlocking { daemon.stop() }
+    LogSetup.stop()
     exitProcess(0)
 }
 
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/Gateway.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/Gateway.kt
@@ -36,7 +36,7 @@
         MultiThreadIoEventLoopGroup(1, DefaultThreadFactory("traffic"), NioIoHandler.newFactory())
     private val loop = group.next()
     private val registry = PrometheusRegistry()
-    private val log = MeasuringRequestLog(GatewayMetrics(registry))
+    private val log = MeasuringRequestLog(GatewayMetrics(registry), clock)
     private val control = ControlPart(settings, clock, log::logEvent) { task -> loop.execute { task(state) } }
     private val state: TrafficState = TrafficState(settings, loop, clock, log, control.usage)
     private val intake = GatewayIntake(state)
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/GatewayMain.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/GatewayMain.kt
@@ -39,6 +39,7 @@
         gateway.start()
         stopped.await()
         runBlocking { gateway.stop() }
+        LogSetup.stop()
         exitProcess(0)
     }
 
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/GatewayEvents.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/GatewayEvents.kt
@@ -4,12 +4,12 @@
 
 /** Log events of the gateway, 3000 to 3099. */
 object GatewayEvents {
-    val ENDED = LogEvent(3001, "request_ended", "a request has its answer; carries outcome, route and time")
-    val REFUSED = LogEvent(3002, "request_refused", "a request was refused before it was sent to a server")
-    val MALFORMED = LogEvent(3003, "request_malformed", "a request was refused because of its form")
-    val SENT = LogEvent(3004, "request_sent", "a request goes to a server; carries the inputs of the choice")
+    val ENDED = LogEvent(3001, "gateway_request_ended", "a request has its answer; carries outcome, route and time")
+    val REFUSED = LogEvent(3002, "gateway_request_refused", "a request was refused before it was sent to a server")
+    val MALFORMED = LogEvent(3003, "gateway_request_malformed", "a request was refused because of its form")
+    val SENT = LogEvent(3004, "gateway_request_sent", "a request goes to a server; carries the inputs of the choice")
     val ATTEMPT_FAILED =
-        LogEvent(3005, "attempt_failed", "a server gave no usable answer; says whether another is asked")
+        LogEvent(3005, "gateway_attempt_failed", "a server gave no usable answer; says whether another is asked")
     val CALLER_CONNECTION_FAILED = LogEvent(3006, "caller_connection_failed", "the connection to a caller broke")
     val CONFIGURATION_APPLIED = LogEvent(3010, "gateway_configuration_applied", "a configuration came into force")
     val CONFIGURATION_REJECTED = LogEvent(3011, "gateway_configuration_rejected", "a configuration cannot be read")
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/GatewayMetrics.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/GatewayMetrics.kt
@@ -35,4 +35,12 @@
             .help("Numbered log events, logged or dropped")
             .labelNames("event")
             .register(registry)
+
+    /** Lines that were not written because more than [LineBudget.LINES_PER_SECOND] were due or the queue was full. */
+    val droppedLines: Counter =
+        Counter
+            .builder()
+            .name("gateway_log_lines_dropped_total")
+            .help("Log lines over the bound of the volume")
+            .register(registry)
 }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/MeasuringRequestLog.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/MeasuringRequestLog.kt
@@ -4,13 +4,17 @@
 import io.tarragonport.api.error.ErrorKind
 import io.tarragonport.api.event.LogEvent
 import io.tarragonport.daemon.gateway.ingress.ReceivedRequest
+import kotlin.time.TimeSource
 
 private val logger = KotlinLogging.logger {}
 
 /** Writes structured lines and keeps the metrics. */
 internal class MeasuringRequestLog(
     private val metrics: GatewayMetrics,
+    clock: TimeSource,
 ) : RequestLog {
+    private val lines = LineBudget(clock)
+
     override fun decision(
         event: LogEvent,
         request: ReceivedRequest,
@@ -56,6 +60,7 @@
         vararg fields: Pair<String, Any?>,
     ) {
         metrics.events.labelValues(event.name).inc()
+        if (!lines.tryTake()) return metrics.droppedLines.inc()
         logger.atInfo {
             message = event.name
             payload =
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/logging/LogSetup.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/logging/LogSetup.kt
@@ -11,7 +11,7 @@
 import org.slf4j.Logger
 import org.slf4j.LoggerFactory
 
-/** Sends the log to standard output as JSON lines or as text. */
+/** Sends the log to standard output as JSON lines or as text, without ever blocking who logs. */
 object LogSetup {
     private const val TEXT_PATTERN = "%d{yyyy-MM-dd'T'HH:mm:ss.SSS} %-5level %msg %kvp%n"
 
@@ -25,9 +25,22 @@
         appender.start()
         val root = context.getLogger(Logger.ROOT_LOGGER_NAME)
         root.level = Level.INFO
-        root.addAppender(appender)
+        root.addAppender(bounded(appender, context))
     }
 
+    /** Writes the lines that wait; nothing is logged afterwards. */
+    fun stop() = (LoggerFactory.getILoggerFactory() as LoggerContext).stop()
+
+    private fun bounded(
+        appender: ConsoleAppender<ILoggingEvent>,
+        context: LoggerContext,
+    ): BoundedAppender =
+        BoundedAppender().also {
+            it.context = context
+            it.addAppender(appender)
+            it.start()
+        }
+
     private fun encoder(
         format: LogFormat,
         context: LoggerContext,
