Apply changed settings, also when no signal comes

Cause: the settings file may change without a signal, and SIGHUP only logged that it did. Conclusion: addresses, lease and window length stay those of the start (documented).

--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/Gateway.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/Gateway.kt
@@ -31,6 +31,8 @@
 class Gateway(
     private val settings: GatewaySettings,
 ) {
+    @Volatile
+    private var inForce = settings
     private val clock = TimeSource.Monotonic
     private val group =
         MultiThreadIoEventLoopGroup(1, DefaultThreadFactory("traffic"), NioIoHandler.newFactory())
@@ -62,8 +64,8 @@
      * platform needs two answers to notice; then it closes idle connections and waits for running requests.
      */
     suspend fun stop() {
-        log.logEvent(GatewayEvents.GATEWAY_DRAINING, "seconds" to settings.stopSeconds)
-        val total = settings.stopSeconds.seconds - STOP_RESERVE
+        log.logEvent(GatewayEvents.GATEWAY_DRAINING, "seconds" to inForce.stopSeconds)
+        val total = inForce.stopSeconds.seconds - STOP_RESERVE
         loop.execute { state.draining = true }
         delay(minOf(ACCEPT_AFTER_STOP, total / 2))
         loop.execute {
@@ -75,9 +77,15 @@
         log.logEvent(GatewayEvents.GATEWAY_STOPPED, "complete" to (finished != null))
     }
 
-    /** Takes changed settings; addresses stay those of the start. */
+    /**
+     * Takes changed settings. The bounds of retries and the time to stop change at once; addresses, leases and usage
+     * windows stay those of the start, because connections and the other VMs rely on them.
+     */
     fun reload(changed: GatewaySettings) {
-        log.logEvent(GatewayEvents.SETTINGS_RELOADED, "changed" to (changed != settings))
+        val before = inForce
+        inForce = changed
+        loop.execute { state.settings = changed }
+        log.logEvent(GatewayEvents.SETTINGS_RELOADED, "changed" to (changed != before))
     }
 
     /** The settings file could not be used. */
--- /dev/null
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/SettingsFile.kt
@@ -0,0 +1,41 @@
+package io.tarragonport.daemon.gateway
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
+import io.tarragonport.api.settings.GatewaySettings
+import io.tarragonport.daemon.settings.SettingsReader
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+
+/** The settings file of a gateway, which may change at any time, with a signal or without. */
+internal class SettingsFile(
+    private val path: String,
+) {
+    private var lastText: String? = null
+
+    /** Reads and checks the file; the left side has one line for each fault. */
+    @Synchronized
+    fun read(): Either<List<String>, GatewaySettings> = text().flatMap(::parse)
+
+    /** Reads the file if its text is not the one read last, null otherwise. */
+    @Synchronized
+    fun readIfChanged(): Either<List<String>, GatewaySettings>? {
+        val before = lastText
+        return text().fold({ it.left() }, { text -> if (text == before) null else parse(text) })
+    }
+
+    private fun text(): Either<List<String>, String> =
+        try {
+            Files.readString(Path.of(path)).right()
+        } catch (exception: IOException) {
+            listOf("$path cannot be read: ${exception.message}").left()
+        }
+
+    private fun parse(text: String): Either<List<String>, GatewaySettings> {
+        lastText = text
+        return SettingsReader.readGateway(text).mapLeft { faults -> faults.map { "$path: $it" } }
+    }
+}
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/TrafficState.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/TrafficState.kt
@@ -23,12 +23,18 @@
  * the requests that wait. The control thread hands new versions over by tasks of the traffic thread.
  */
 internal class TrafficState(
-    val settings: GatewaySettings,
+    settings: GatewaySettings,
     val loop: EventLoop,
     val clock: TimeSource.WithComparableMarks,
     val log: RequestLog,
     val meter: UsageSink,
 ) {
+    /** The settings in force; retry budgets follow their changes. */
+    var settings: GatewaySettings = settings
+        set(changed) {
+            if (changed.retryRatio != field.retryRatio) budgets.clear()
+            field = changed
+        }
     var configuration: ConfigurationInForce? = null
     var draining = false
 
