Hold requests that crash the servers which run them

Cause: a request can crash each server that runs it and comes again at any VM; nothing kept it from further servers. Change: the existing crash ledger, shared by the VMs' records, holds a request after three broken runs (two answers can be lost by chance); such a request is answered at once.

--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/fleet/VmRecord.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/fleet/VmRecord.kt
@@ -4,13 +4,15 @@
 import io.tarragonport.api.id.OrganisationId
 import io.tarragonport.api.id.ServiceId
 import io.tarragonport.api.id.VmId
+import io.tarragonport.api.peer.CrashSighting
 import kotlinx.serialization.Serializable
 
 /**
  * What a VM writes about itself every few seconds.
  *
  * [windows] holds its counts of the newest usage windows, each complete in itself, so that a write that is lost or
- * repeated changes nothing. [demand] is the load that it sends to each service.
+ * repeated changes nothing. [demand] is the load that it sends to each service, [crashes] are requests that it saw in
+ * flight when a server broke off, by fingerprint.
  */
 @Serializable
 data class VmRecord(
@@ -20,4 +22,5 @@
     val beat: Long,
     val windows: Map<Long, Map<OrganisationId, Long>>,
     val demand: Map<ServiceId, ServiceDemand>,
+    val crashes: List<CrashSighting> = emptyList(),
 )
--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/health/CrashLedger.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/health/CrashLedger.kt
@@ -12,12 +12,14 @@
 /**
  * Fingerprints of requests that were in flight on crashing servers, counted across the fleet.
  *
- * A fingerprint is suspect after one crash and held after the second; it expires ten minutes after its last crash.
- * Messages carry ages, because clocks of different VMs are not compared. Sightings of one server that are close in time
- * are the same crash, so that merging a message twice, or a crash that several VMs saw, changes nothing.
+ * A fingerprint is suspect after one crash and held after [heldAfter]; it expires ten minutes after its last crash.
+ * Messages carry ages, because clocks of different VMs are not compared. Sightings of one server within [sameCrash] of
+ * each other are the same crash, so that merging a message twice, or a crash that several VMs saw, changes nothing.
  */
 class CrashLedger(
     private val clock: TimeSource.WithComparableMarks,
+    private val heldAfter: Int = HELD_AFTER,
+    private val sameCrash: Duration = SAME_CRASH,
 ) {
     private class Crash(
         val server: BackendServerId,
@@ -36,9 +38,12 @@
     fun merge(sightings: List<CrashSighting>) =
         sightings.forEach { add(it.fingerprint, it.server, it.ageMs.coerceAtLeast(0).milliseconds) }
 
+    /** Whether nothing was seen to crash a server. */
+    val empty: Boolean get() = crashes.isEmpty()
+
     fun isSuspect(fingerprint: String): Boolean = count(fingerprint) >= 1
 
-    fun isHeld(fingerprint: String): Boolean = count(fingerprint) >= HELD_AFTER
+    fun isHeld(fingerprint: String): Boolean = count(fingerprint) >= heldAfter
 
     /** All unexpired sightings for peers, newest fingerprint last. */
     fun sightings(): List<CrashSighting> {
@@ -57,7 +62,7 @@
         val time = clock.markNow() - age
         removeExpired()
         val seen = crashes.getOrPut(fingerprint) { ArrayList(HELD_AFTER) }
-        val known = seen.any { it.server == server && (it.time - time).absoluteValue < SAME_CRASH }
+        val known = seen.any { it.server == server && (it.time - time).absoluteValue < sameCrash }
         if (known || seen.size >= MAXIMUM_SIGHTINGS) return
         seen += Crash(server, time)
         if (crashes.size > MAXIMUM_FINGERPRINTS) crashes.remove(crashes.keys.first())
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ControlPart.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ControlPart.kt
@@ -3,6 +3,7 @@
 import io.tarragonport.api.id.Incarnation
 import io.tarragonport.api.id.OrganisationId
 import io.tarragonport.api.id.ServiceId
+import io.tarragonport.api.peer.CrashSighting
 import io.tarragonport.api.settings.GatewaySettings
 import io.tarragonport.core.gateway.fleet.FleetView
 import io.tarragonport.core.gateway.fleet.ServiceDemandMeter
@@ -75,8 +76,7 @@
     private val incarnation = Incarnation(Clock.System.now().toEpochMilliseconds())
     private val view = FleetView(clock)
     private val record = VmRecordLoop("$RECORDS${settings.vmId}-$incarnation", store, log, ::ownRecord)
-    private val fleet =
-        FleetLoop(RECORDS, store, store, view, log) { live -> onTraffic { it.liveVms = maxOf(live, 1) } }
+    private val fleet = FleetLoop(RECORDS, store, store, view, log, ::fleetChanged)
     private val duties = settings.dutyUrl?.let { dutyLoop(PlatformHttp(it, DUTY_TIMEOUTS), clock) }
 
     /** Where the traffic thread counts what it sends and what began to run. */
@@ -92,6 +92,10 @@
             override fun ended(service: ServiceId) = demand.ended(service)
         }
 
+    /** Crashes that the traffic thread knows of, as of the last reading of the fleet. */
+    @Volatile
+    private var seenCrashes: List<CrashSighting> = emptyList()
+
     /** Whether the backend servers have been listed. */
     @Volatile
     var serversKnown = false
@@ -121,10 +125,19 @@
         executor.shutdown()
     }
 
+    private fun fleetChanged(live: List<VmRecord>) {
+        val crashes = live.filter { it.vm != settings.vmId }.flatMap { it.crashes }
+        onTraffic { state ->
+            state.liveVms = maxOf(live.size, 1)
+            state.crashes.merge(crashes)
+            seenCrashes = state.crashes.known
+        }
+    }
+
     private fun ownRecord(beat: Long): VmRecord {
         val newest = meter.windowAt(wall.now())
         val windows = meter.after(newest - WINDOWS_IN_RECORD).associate { it.window to it.requests }
-        return VmRecord(settings.vmId, incarnation, settings.ip, beat, windows, demand.read())
+        return VmRecord(settings.vmId, incarnation, settings.ip, beat, windows, demand.read(), seenCrashes)
     }
 
     private fun dutyLoop(
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/FleetLoop.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/FleetLoop.kt
@@ -19,7 +19,7 @@
     private val recent: RecentListing,
     private val view: FleetView,
     private val log: ControlLog,
-    private val changed: (live: Int) -> Unit,
+    private val changed: (live: List<VmRecord>) -> Unit,
 ) {
     private var liveBefore = 0
 
@@ -36,10 +36,10 @@
 
     private fun take(listing: ObjectListing) {
         view.update(listing.objects.mapNotNull { entry -> decode(entry.value)?.let { entry.name to it } }.toMap())
-        val live = view.live().size
-        if (live != liveBefore) {
-            log.event(GatewayEvents.PEERS_CHANGED, "live" to live, "before" to liveBefore)
-            liveBefore = live
+        val live = view.live()
+        if (live.size != liveBefore) {
+            log.event(GatewayEvents.PEERS_CHANGED, "live" to live.size, "before" to liveBefore)
+            liveBefore = live.size
         }
         changed(live)
     }
@@ -53,7 +53,7 @@
         }
 
     private companion object {
-        /** Share of connections and retries follows the number of VMs; it changes seldom. */
-        val INTERVAL: Duration = 5.seconds
+        /** The interval of the records: crashes that other VMs saw must be known before a request comes again often. */
+        val INTERVAL: Duration = 2.seconds
     }
 }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Exchange.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Exchange.kt
@@ -132,6 +132,9 @@
     ) {
         settle(attempt, succeeded = false)
         closeServer(attempt.server, outcome)
+        if (outcome == AttemptOutcome.BROKEN && !attempt.server.registered.leaving) {
+            state.crashes.record(request, attempt.server.registered.id)
+        }
         if (retry(attempt, outcome, reason)) return
         finish("failed", "server" to attempt.server.registered.id, "reason" to reason, "sent" to history.sent)
         when {
@@ -222,7 +225,7 @@
     ): Boolean {
         history.record(attempt.server.registered.id, outcome)
         val left = deadline - state.now()
-        val allowed = state.policy(service).mayRetry(route, history, outcome, left)
+        val allowed = !state.crashes.holds(request) && state.policy(service).mayRetry(route, history, outcome, left)
         state.log.decision(
             GatewayEvents.ATTEMPT_FAILED,
             request,
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/GatewayIntake.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/GatewayIntake.kt
@@ -68,6 +68,7 @@
         if (service == null || state.service(service) == null) {
             return refuse(request, caller, ErrorKind.NO_BACKEND_SERVER, decision.version)
         }
+        if (state.crashes.holds(request)) return refuse(request, caller, ErrorKind.BACKEND_FAILED, decision.version)
         return Exchange(state, request, caller, decision, service).also { it.start() }
     }
 
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/TrafficState.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/TrafficState.kt
@@ -46,6 +46,7 @@
     val prompts = PromptProfile()
     val pools = ConnectionPools(loop, clock)
     val waiting = WaitingLine<Exchange>()
+    val crashes = CrashGuard(clock)
     private var polling = false
     private val budgets = HashMap<ServiceId, RetryBudget>()
 
--- a/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/GatewayRepeatsTest.kt
+++ b/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/GatewayRepeatsTest.kt
@@ -87,6 +87,26 @@
         assertTrue(server.received.size <= 1)
     }
 
+    @Test
+    fun `a request that crashes its servers is held and others are served`() {
+        fixture.store.configure(FleetSamples.configuration())
+        var arrivals = 0
+        listOf("s1", "s2", "s3", "s4").forEach { id ->
+            fixture.server(FleetSamples.PLAIN, id) { call, socket ->
+                if (call.target == "/post/crash") {
+                    arrivals++
+                    socket.close()
+                } else {
+                    socket.getOutputStream().send(ServerAnswers.plain(call, "ok"))
+                }
+            }
+        }
+        fixture.start()
+        repeat(8) { assertEquals(502, fixture.send("/post/crash").statusCode()) }
+        assertEquals(3, arrivals)
+        assertEquals(200, fixture.send("/post/other").statusCode())
+    }
+
     @Test
     fun `an unreachable server is passed over`() {
         fixture.store.configure(FleetSamples.configuration())
