Pass configuration and servers on among gateways and restart failed parts

Cause: a VM that the store does not answer served what it had, and a process that started during an outage had nothing and stayed not ready; a control loop that failed unexpectedly never came back. Change: three peer messages over the existing transport (state, request, knowledge); a failed part is logged and started again. Ruled out: sharing load with the same messages: not measured, so not built.

--- a/tarragonport-api/src/main/kotlin/io/tarragonport/api/peer/PeerMessage.kt
+++ b/tarragonport-api/src/main/kotlin/io/tarragonport/api/peer/PeerMessage.kt
@@ -1,6 +1,7 @@
 package io.tarragonport.api.peer
 
 import io.tarragonport.api.configuration.SectionName
+import io.tarragonport.api.id.ConfigurationVersion
 import io.tarragonport.api.id.ObjectVersion
 import io.tarragonport.api.id.VmId
 import kotlinx.serialization.SerialName
@@ -124,4 +125,27 @@
     data class CrashAcknowledgement(
         @CborLabel(1) val sequence: Long,
     ) : PeerMessage
+
+    /** Tells which [configuration] a gateway has in force and where it takes messages. */
+    @Serializable
+    @SerialName("gs")
+    data class GatewayState(
+        @CborLabel(1) val configuration: ConfigurationVersion,
+        @CborLabel(2) val address: String,
+    ) : PeerMessage
+
+    /** Asks a gateway at [address] for what it knows of the store; the answer goes to that address. */
+    @Serializable
+    @SerialName("gq")
+    data class GatewayKnowledgeRequest(
+        @CborLabel(1) val address: String,
+    ) : PeerMessage
+
+    /** What a gateway knows of the store: the [configuration] and the entries of backend servers as the store had them. */
+    @Serializable
+    @SerialName("ga")
+    data class GatewayKnowledge(
+        @CborLabel(1) val configuration: String,
+        @CborLabel(2) val servers: Map<String, String>,
+    ) : PeerMessage
 }
--- a/tarragonport-api/src/main/kotlin/io/tarragonport/api/settings/GatewaySettings.kt
+++ b/tarragonport-api/src/main/kotlin/io/tarragonport/api/settings/GatewaySettings.kt
@@ -9,7 +9,7 @@
  * Settings of one gateway process on the users' platform, read at start and again after SIGHUP.
  *
  * Addresses are `ip:port`, URLs `http://ip:port`, times in seconds may be fractions. [peerPorts] are the first and last
- * port that VMs may use among themselves. [stopSeconds] is the time between the signal to stop and the kill,
+ * port that VMs may use among themselves; they listen on the first. [seeds] are other VMs to ask when the store is away; only [stopSeconds] is the time between the signal to stop and the kill,
  * [retryRatio] and [retrySpare] bound the requests sent to a second server in [retryWindowSeconds] for all VMs together,
  * as a share of the requests and as a number. [leaseSeconds] is the shortest time between the calls of two holders of a
  * duty. Windows of usage have [usageWindowSeconds] and are due [usageDueSeconds] after their end. A configuration has to
@@ -25,6 +25,7 @@
     val readinessAddress: String,
     val peerPorts: List<Int>,
     val platformUrl: String,
+    val seeds: List<String> = emptyList(),
     val dutyUrl: String? = null,
     val duties: List<String> = emptyList(),
     val stopSeconds: Double = 8.0,
--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/membership/Membership.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/membership/Membership.kt
@@ -132,6 +132,7 @@
             is PeerMessage.SectionRequest, is PeerMessage.SectionAnswer, is PeerMessage.LimitReport,
             is PeerMessage.LimitShare, is PeerMessage.IntentCommit, is PeerMessage.IntentCommitted,
             is PeerMessage.CrashAnnouncement, is PeerMessage.CrashAcknowledgement,
+            is PeerMessage.GatewayState, is PeerMessage.GatewayKnowledgeRequest, is PeerMessage.GatewayKnowledge,
             -> emptyList()
         }
 
--- a/tarragonport-core/src/test/kotlin/io/tarragonport/core/gateway/balance/ServerSelectorTest.kt
+++ b/tarragonport-core/src/test/kotlin/io/tarragonport/core/gateway/balance/ServerSelectorTest.kt
@@ -96,7 +96,14 @@
     fun `engines for quick chats are ordinary ones as far as there are any`() {
         val board = ServerBoard()
         board.configure(listOf(Samples.engineService()))
-        val servers = (1..12).map { Samples.server("s$it", domain = listOf("a", "b", "c")[it % 3]).copy(cheap = it > 2) }
+        val servers =
+            (1..12).map {
+                Samples
+                    .server(
+                        "s$it",
+                        domain = listOf("a", "b", "c")[it % 3],
+                    ).copy(cheap = it > 2)
+            }
         board.update(servers)
         val chosen = servers.filter { it.id in board.shortPromptEngines(Samples.ENGINES) }
         assertEquals(3, chosen.size)
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/configuration/PeerSections.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/configuration/PeerSections.kt
@@ -54,6 +54,7 @@
             is PeerMessage.LimitReport, is PeerMessage.LimitShare,
             is PeerMessage.IntentCommit, is PeerMessage.IntentCommitted,
             is PeerMessage.CrashAnnouncement, is PeerMessage.CrashAcknowledgement,
+            is PeerMessage.GatewayState, is PeerMessage.GatewayKnowledgeRequest, is PeerMessage.GatewayKnowledge,
             -> Unit
         }
     }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ConfigurationFollower.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ConfigurationFollower.kt
@@ -18,6 +18,10 @@
     var inForce: ConfigurationInForce? = null
         private set
 
+    /** The configuration in force as the store has it. */
+    var text: String? = null
+        private set
+
     override fun listed(
         objects: List<ObjectEntry>,
         afterOutage: Boolean,
@@ -39,6 +43,7 @@
                 if (before != null && content.version <= before) return
                 val next = ConfigurationInForce(content)
                 inForce = next
+                text = value
                 log.event(
                     GatewayEvents.CONFIGURATION_APPLIED,
                     "version" to content.version,
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ControlPart.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ControlPart.kt
@@ -13,19 +13,23 @@
 import io.tarragonport.core.gateway.usage.WindowMeter
 import io.tarragonport.core.lease.LeaseOwner
 import io.tarragonport.core.lease.LeaseSettings
+import io.tarragonport.daemon.gateway.exchange.GatewayEvents
 import io.tarragonport.daemon.gateway.exchange.TrafficState
 import io.tarragonport.daemon.gateway.exchange.UsageSink
 import io.tarragonport.daemon.lease.LeaseLoop
+import io.tarragonport.daemon.peer.SocketPeerTransport
 import io.tarragonport.platform.PlatformHttp
 import io.tarragonport.platform.PlatformTimeouts
 import io.tarragonport.wire.ConfigurationDecoder
 import io.tarragonport.wire.NativeDuties
 import io.tarragonport.wire.NativeObjectStore
 import io.tarragonport.wire.ServerDecoder
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
@@ -77,6 +81,17 @@
     private val view = FleetView(clock)
     private val record = VmRecordLoop("$RECORDS${settings.vmId}-$incarnation", store, log, ::ownRecord)
     private val fleet = FleetLoop(RECORDS, store, store, view, log, ::fleetChanged)
+    private val peerAddress = "${settings.ip}:${settings.peerPorts.first()}"
+    private val peers =
+        GatewayPeers(
+            settings.vmId,
+            incarnation,
+            peerAddress,
+            SocketPeerTransport(peerAddress),
+            dispatcher,
+            configuration,
+            servers,
+        )
     private val duties = settings.dutyUrl?.let { dutyLoop(PlatformHttp(it, DUTY_TIMEOUTS), clock) }
 
     /** Where the traffic thread counts what it sends and what began to run. */
@@ -103,14 +118,34 @@
 
     /** Begins to follow the store. */
     fun start() {
-        scope.launch { configurationWatch.run() }
-        scope.launch { serverWatch.run() }
-        scope.launch { servers.expireMissing() }
-        scope.launch { record.run() }
-        scope.launch { fleet.run() }
+        part("configuration watch") { configurationWatch.run() }
+        part("server watch") { serverWatch.run() }
+        part("expiry of servers") { servers.expireMissing() }
+        part("record") { record.run() }
+        part("fleet") { fleet.run() }
+        peers.know(settings.seeds.map { "${it.substringBeforeLast(':')}:${settings.peerPorts.first()}" })
+        part("peer messages") { peers.listen() }
+        part("announcements") { peers.announce() }
         duties?.let { (lease, loop) ->
-            scope.launch { lease.run() }
-            scope.launch { loop.run() }
+            part("lease") { lease.run() }
+            part("duties") { loop.run() }
+        }
+    }
+
+    /** Runs one part; a part that fails unexpectedly is logged and started again, and the others go on. */
+    private fun part(
+        name: String,
+        run: suspend () -> Unit,
+    ) = scope.launch {
+        while (true) {
+            try {
+                return@launch run()
+            } catch (exception: CancellationException) {
+                throw exception
+            } catch (exception: Exception) {
+                log.event(GatewayEvents.PART_FAILED, "part" to name, "error" to exception)
+                delay(RESTART_DELAY)
+            }
         }
     }
 
@@ -126,6 +161,7 @@
     }
 
     private fun fleetChanged(live: List<VmRecord>) {
+        peers.know(live.map { it.peerAddress })
         val crashes = live.filter { it.vm != settings.vmId }.flatMap { it.crashes }
         onTraffic { state ->
             state.liveVms = maxOf(live.size, 1)
@@ -137,7 +173,7 @@
     private fun ownRecord(beat: Long): VmRecord {
         val newest = meter.windowAt(wall.now())
         val windows = meter.after(newest - WINDOWS_IN_RECORD).associate { it.window to it.requests }
-        return VmRecord(settings.vmId, incarnation, settings.ip, beat, windows, demand.read(), seenCrashes)
+        return VmRecord(settings.vmId, incarnation, peerAddress, beat, windows, demand.read(), seenCrashes)
     }
 
     private fun dutyLoop(
@@ -204,6 +240,9 @@
         val LEASE_MARGIN = 500.milliseconds
         val LEASE_RETRY = 400.milliseconds
 
+        /** Pause before a failed part starts again. */
+        val RESTART_DELAY = 500.milliseconds
+
         /** Two calls to the store. */
         val STOP_LIMIT = 600.milliseconds
 
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ServerFollower.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ServerFollower.kt
@@ -2,6 +2,7 @@
 
 import io.tarragonport.api.gateway.RegisteredServer
 import io.tarragonport.api.id.BackendServerId
+import io.tarragonport.api.id.ObjectVersion
 import io.tarragonport.api.platform.ObjectEntry
 import io.tarragonport.core.gateway.registry.ServerRegistry
 import io.tarragonport.daemon.gateway.exchange.GatewayEvents
@@ -16,6 +17,12 @@
     private val log: ControlLog,
     private val apply: (List<RegisteredServer>) -> Unit,
 ) : KindFollower {
+    private val texts = mutableMapOf<String, String>()
+    private var listedByStore = false
+
+    /** The entries as the store has them, by name. */
+    val entries: Map<String, String> get() = texts.toMap()
+
     /** The servers that are registered now. */
     val known: List<RegisteredServer> get() = registry.servers.toList()
 
@@ -23,6 +30,9 @@
         objects: List<ObjectEntry>,
         afterOutage: Boolean,
     ) {
+        listedByStore = true
+        texts.clear()
+        objects.forEach { entry -> entry.value?.let { texts[entry.name] = it } }
         val servers = objects.mapNotNull(::decode)
         registry.replace(servers, afterOutage)
         log.event(GatewayEvents.SERVERS_LISTED, "servers" to servers.size, "after_outage" to afterOutage)
@@ -30,6 +40,7 @@
     }
 
     override fun changed(entry: ObjectEntry) {
+        if (entry.deleted) texts -= entry.name else entry.value?.let { texts[entry.name] = it }
         if (entry.deleted) {
             val id = BackendServerId(entry.name.removePrefix(ServerDecoder.PREFIX))
             registry.remove(id)
@@ -42,6 +53,15 @@
         publish()
     }
 
+    /** Takes the entries that another VM knows, as long as the store has not listed them to this one. */
+    fun adopt(known: Map<String, String>) {
+        if (listedByStore || known.isEmpty()) return
+        val servers = known.mapNotNull { (name, value) -> decode(ObjectEntry(name, ObjectVersion.NONE, value)) }
+        registry.replace(servers, afterOutage = false)
+        log.event(GatewayEvents.SERVERS_ADOPTED, "servers" to servers.size)
+        publish()
+    }
+
     override fun storeReturned() = registry.storeReturned()
 
     /** Removes entries that did not return after an outage. */
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Exchange.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Exchange.kt
@@ -244,7 +244,7 @@
         if (done) return
         val sent = attempt?.sentAt != null || history.mayHaveRun > 0
         state.waiting.remove(this)
-        finish("timed_out", "sent" to history.sent)
+        finish("timed_out", "server" to attempt?.server?.registered?.id, "sent" to sent)
         cancelAttempt()
         when {
             begun -> caller.abort()
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/GatewayEvents.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/GatewayEvents.kt
@@ -26,6 +26,7 @@
     val GATEWAY_STOPPED = LogEvent(3033, "gateway_stopped", "the process ends; carries the requests that were cut")
     val SETTINGS_RELOADED = LogEvent(3034, "settings_reloaded", "the settings file was read again")
     val SETTINGS_REJECTED = LogEvent(3035, "settings_rejected", "the settings file cannot be used; the old ones stay")
+    val PART_FAILED = LogEvent(3036, "gateway_part_failed", "a control loop failed unexpectedly and starts again")
     val USAGE_REPORTED = LogEvent(3040, "window_reported", "a usage window was reported")
     val USAGE_FAILED = LogEvent(3041, "window_report_failed", "a usage window could not be reported yet")
     val SERVERS_ORDERED = LogEvent(3042, "servers_ordered", "a number of servers was ordered")
@@ -33,6 +34,7 @@
     val PEERS_CHANGED = LogEvent(3050, "peers_changed", "the set of live VMs changed")
 
     val RECORD_FAILED = LogEvent(3051, "vm_record_failed", "a VM's record could not be written or read")
+    val SERVERS_ADOPTED = LogEvent(3052, "servers_adopted", "another VM's list of servers is used; the store is away")
 
     /** Every event of the gateway. */
     val ALL =
@@ -58,11 +60,13 @@
             GATEWAY_STOPPED,
             SETTINGS_RELOADED,
             SETTINGS_REJECTED,
+            PART_FAILED,
             USAGE_REPORTED,
             USAGE_FAILED,
             SERVERS_ORDERED,
             ORDER_FAILED,
             PEERS_CHANGED,
             RECORD_FAILED,
+            SERVERS_ADOPTED,
         )
 }
--- a/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/SettingsFileTest.kt
+++ b/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/SettingsFileTest.kt
@@ -1,8 +1,8 @@
 package io.tarragonport.daemon.gateway
 
+import org.junit.jupiter.api.io.TempDir
 import java.nio.file.Files
 import java.nio.file.Path
-import org.junit.jupiter.api.io.TempDir
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertNotNull
@@ -50,7 +50,14 @@
         val file = folder.resolve("settings.json")
         Files.writeString(file, valid)
         val settings = SettingsFile("$file")
-        assertEquals("v", settings.read().getOrNull()?.vmId?.value)
+        assertEquals(
+            "v",
+            settings
+                .read()
+                .getOrNull()
+                ?.vmId
+                ?.value,
+        )
         assertNull(settings.readIfChanged())
         Files.writeString(file, valid.replace("\"v\"", "\"w\""))
         assertEquals("w", assertNotNull(settings.readIfChanged()).getOrNull()?.vmId?.value)
--- a/tarragonport-standins/src/main/kotlin/io/tarragonport/tool/quickstart/PlatformQuickstartMain.kt
+++ b/tarragonport-standins/src/main/kotlin/io/tarragonport/tool/quickstart/PlatformQuickstartMain.kt
@@ -26,7 +26,11 @@
     @Option(name = "--store-port", required = true, usage = "port of the store stand-in")
     private var storePort: Int = 0
 
-    @Option(name = "--callers", required = true, usage = "caller addresses of the gateways, ip:port, separated by commas")
+    @Option(
+        name = "--callers",
+        required = true,
+        usage = "caller addresses of the gateways, ip:port, separated by commas",
+    )
     private var callers: String = ""
 
     @Option(name = "--readiness", required = true, usage = "readiness addresses of the gateways in the same order")
