--- a/tarragonport-standins/src/main/kotlin/io/tarragonport/standin/fleet/StoreStandIn.kt
+++ b/tarragonport-standins/src/main/kotlin/io/tarragonport/standin/fleet/StoreStandIn.kt
@@ -19,6 +19,9 @@
 import io.tarragonport.api.configuration.WireJson
 import io.tarragonport.wire.ConfigurationDecoder
 import io.tarragonport.wire.ConfigurationWire
+import io.tarragonport.wire.ObjectChange
+import io.tarragonport.wire.ObjectChanges
+import io.tarragonport.wire.ObjectPage
 import io.tarragonport.wire.ServerDecoder
 import io.tarragonport.wire.ServerWire
 import io.tarragonport.wire.StoreObjects
@@ -29,7 +32,6 @@
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
-import kotlinx.serialization.json.putJsonArray
 import kotlinx.serialization.json.putJsonObject
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeSource
@@ -111,13 +113,8 @@
         val kind = call.parameters["kind"].orEmpty()
         val from = call.request.queryParameters["watch"]?.toLong()
         if (from != null) return watch(call, kind, from)
-        val body =
-            buildJsonObject {
-                putJsonArray("items") { state.list(kind).forEach { add(content(it)) } }
-                put("has_more", false)
-                put("store_revision", state.revision)
-            }
-        call.respondText(body.toString(), ContentType.Application.Json)
+        val page = ObjectPage(state.list(kind).map(::content), hasMore = false, state.revision)
+        call.respondText(WireJson.encodeToString(ObjectPage.serializer(), page), ContentType.Application.Json)
     }
 
     private suspend fun watch(
@@ -131,7 +128,7 @@
             val changes = state.changes(kind, from) ?: return call.respondText("{}", status = HttpStatusCode.Gone)
             if (fault == StoreFault.BUSY) return call.respondText("busy", status = HttpStatusCode.ServiceUnavailable)
             if (changes.isNotEmpty() || start.elapsedNow() >= wait) {
-                return call.respondText(changesBody(changes, from).toString(), ContentType.Application.Json)
+                return call.respondText(changesBody(changes, from), ContentType.Application.Json)
             }
             delay(WATCH_POLL)
         }
@@ -140,20 +137,11 @@
     private fun changesBody(
         changes: List<StoreChange>,
         from: Long,
-    ): JsonObject =
-        buildJsonObject {
-            putJsonArray("events") {
-                changes.forEach { change ->
-                    add(
-                        buildJsonObject {
-                            put("removed", change.removed)
-                            put("object", content(change.entry))
-                        },
-                    )
-                }
-            }
-            put("store_revision", changes.maxOfOrNull { it.revision } ?: maxOf(from, state.revision))
-        }
+    ): String {
+        val revision = changes.maxOfOrNull { it.revision } ?: maxOf(from, state.revision)
+        val events = changes.map { ObjectChange(it.removed, content(it.entry)) }
+        return WireJson.encodeToString(ObjectChanges.serializer(), ObjectChanges(events, revision))
+    }
 
     private suspend fun one(call: ApplicationCall) {
         val entry = state.get(call.parameters["kind"].orEmpty(), call.parameters["name"].orEmpty())
--- a/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/HostileRequestsTest.kt
+++ b/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/HostileRequestsTest.kt
@@ -1,6 +1,7 @@
 package io.tarragonport.standin.fleet
 
 import io.tarragonport.standin.fleet.ScriptedServer.Companion.send
+import io.tarragonport.wire.WireHeaders
 import org.junit.jupiter.api.AfterEach
 import java.io.IOException
 import java.net.Socket
@@ -104,7 +105,7 @@
         fixture.start()
         val forged =
             listOf(
-                "x-tenant",
+                WireHeaders.ORGANISATION.lowercase(),
                 "x-hold",
                 "x-pin-ms",
                 "kv-from",
@@ -115,7 +116,7 @@
         fixture.send("/post/a", headers = forged.associateWith { "forged" } + ("X-Kept" to "kept"))
         val headers = server.received.single().headers
         assertTrue(headers.none { it.value == "forged" }, "$headers")
-        assertEquals("one", headers["x-tenant"])
+        assertEquals("one", headers[WireHeaders.ORGANISATION.lowercase()])
         assertEquals("s1", headers["x-expect-instance"])
         assertEquals("kept", headers["x-kept"])
         assertTrue("x-api-key" !in headers)
