--- a/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/GatewayFixture.kt
+++ b/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/GatewayFixture.kt
@@ -123,9 +123,5 @@
         const val POLLS = 500
         const val POLL_MS = 20L
         const val SOCKET_TIMEOUT_MS = 6_000
-
-        init {
-            System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host,connection")
-        }
     }
 }
