Tell callers of refused requests whether they ran

The gateway now writes the same error body as the caller endpoints (AnswerFormat, one copy of the format). Before: no field; after: ran is no, or unknown for answers given after a server may have begun. Shown by GatewayRepeatsTest.

--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Exchange.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Exchange.kt
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.util.concurrent.ScheduledFuture
 import io.tarragonport.api.error.ErrorKind
+import io.tarragonport.api.error.Ran
 import io.tarragonport.api.gateway.ForwardingMetadata
 import io.tarragonport.api.gateway.GatewayRoute
 import io.tarragonport.api.id.ServiceId
@@ -299,7 +300,8 @@
         kind: ErrorKind,
         retryAfter: Duration?,
     ) {
-        val refusal = RefusalAnswer.of(kind, request.metadata.requestId, retryAfter)
+        val ran = if (kind in MAY_HAVE_RUN) Ran.UNKNOWN else Ran.NO
+        val refusal = RefusalAnswer.of(kind, ran, request.metadata.requestId, retryAfter)
         caller.answer(refusal.status, refusal.headers, refusal.body)
     }
 
@@ -326,6 +328,9 @@
         const val FIRST_SERVER_ERROR = 500
         val URGENCIES = 0..9
 
+        /** Answers that are given only after a server may have begun to run the request. */
+        val MAY_HAVE_RUN = setOf(ErrorKind.BACKEND_FAILED, ErrorKind.DEADLINE_EXCEEDED)
+
         /** A repeatable request is given up at a silent server after this many latency objectives. */
         const val SILENCE_OBJECTIVES = 3
 
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/GatewayIntake.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/GatewayIntake.kt
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpRequest
 import io.tarragonport.api.error.ErrorKind
+import io.tarragonport.api.error.Ran
 import io.tarragonport.api.id.ConfigurationVersion
 import io.tarragonport.core.gateway.route.RouteDecision
 import io.tarragonport.core.gateway.route.ServiceChoice
@@ -81,7 +82,7 @@
         state.log.decision(GatewayEvents.REFUSED, request, "kind" to kind.code, "configuration" to version)
         request.body.release()
         val retryAfter = RETRY_AFTER.takeIf { kind.status == SERVICE_UNAVAILABLE }
-        val refusal = RefusalAnswer.of(kind, request.metadata.requestId, retryAfter)
+        val refusal = RefusalAnswer.of(kind, Ran.NO, request.metadata.requestId, retryAfter)
         caller.answer(refusal.status, refusal.headers, refusal.body)
         return NothingToDo
     }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/RefusalAnswer.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/RefusalAnswer.kt
@@ -6,7 +6,10 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import io.tarragonport.api.error.ErrorKind
+import io.tarragonport.api.error.Ran
+import io.tarragonport.api.error.Refusal
 import io.tarragonport.api.id.RequestId
+import io.tarragonport.daemon.caller.AnswerFormat
 import io.tarragonport.wire.RequestHeaders
 import java.util.Locale
 import kotlin.time.Duration
@@ -19,9 +22,10 @@
     val body: ByteBuf,
 ) {
     companion object {
-        /** The answer for [kind]; [retryAfter] tells a caller when to come back. */
+        /** The answer for [kind]; [ran] tells whether the request ran, [retryAfter] when its caller may come back. */
         fun of(
             kind: ErrorKind,
+            ran: Ran,
             id: RequestId?,
             retryAfter: Duration?,
         ): RefusalAnswer {
@@ -29,7 +33,7 @@
             headers.set(HttpHeaderNames.CONTENT_TYPE, "application/json")
             id?.let { RequestHeaders.echo(it) }?.let { (name, value) -> headers.set(name, value) }
             retryAfter?.let { headers.set(HttpHeaderNames.RETRY_AFTER, seconds(it)) }
-            val text = "{\"error\":{\"code\":\"${kind.code}\"}}"
+            val text = AnswerFormat.error(Refusal(kind, kind.code.replace('_', ' '), ran))
             return RefusalAnswer(kind.status, headers, Unpooled.copiedBuffer(text, Charsets.UTF_8))
         }
 
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/CallerConnection.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/CallerConnection.kt
@@ -24,6 +24,7 @@
 import io.netty.util.ReferenceCountUtil
 import io.netty.util.concurrent.ScheduledFuture
 import io.tarragonport.api.error.ErrorKind
+import io.tarragonport.api.error.Ran
 import io.tarragonport.api.gateway.CallerLimits
 import io.tarragonport.daemon.gateway.exchange.RefusalAnswer
 import io.tarragonport.wire.RequestHeaders
@@ -271,7 +272,7 @@
         reading?.body?.release()
         reading = null
         keepAlive = false
-        val refusal = RefusalAnswer.of(kind, null, null)
+        val refusal = RefusalAnswer.of(kind, Ran.NO, null, null)
         answer(refusal.status, refusal.headers, refusal.body)
     }
 
--- a/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/GatewayRepeatsTest.kt
+++ b/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/GatewayRepeatsTest.kt
@@ -107,6 +107,25 @@
         assertEquals(200, fixture.send("/post/other").statusCode())
     }
 
+    @Test
+    fun `a refusal tells whether the request may have run`() {
+        fixture.store.configure(FleetSamples.configuration())
+        var answer: (ReceivedCall, Socket) -> Unit = lost
+        fixture.server(FleetSamples.PLAIN, "s1") { call, socket -> answer(call, socket) }
+        fixture.start()
+        listOf(
+            Triple("lost answer", lost, 502 to "unknown"),
+            Triple("the only server has not run it", notRun, 503 to "no"),
+        ).forEach { (title, script, expected) ->
+            answer = script
+            val refused = fixture.send("/post/a")
+            val ran = Regex("\"ran\":\"(\\w+)\"").find(refused.body())?.groupValues?.get(1)
+            assertEquals(expected, refused.statusCode() to ran, title)
+        }
+        val unknownRoute = fixture.send("/nowhere/")
+        assertTrue("\"ran\":\"no\"" in unknownRoute.body(), unknownRoute.body())
+    }
+
     @Test
     fun `an unreachable server is passed over`() {
         fixture.store.configure(FleetSamples.configuration())
