Fetch shared prompts from the engine that keeps them

The selector now names the engine believed to keep the shared parts (highest rank among those that did not join lately, leaving ones included) and the request asks its engine to fetch from there. Ruled out: following the engines' cache events, which costs a waiting call for each engine and VM.

--- a/tarragonport-api/src/main/kotlin/io/tarragonport/api/gateway/ForwardingMetadata.kt
+++ b/tarragonport-api/src/main/kotlin/io/tarragonport/api/gateway/ForwardingMetadata.kt
@@ -7,8 +7,8 @@
 /**
  * What this system tells a backend server about a request beside the caller's own headers.
  *
- * [remaining] is the time after which the server may stop, [urgency] the rank from 0 (first) to 9 at a model engine and
- * [resumeAfter] the event after which a stream goes on.
+ * [remaining] is the time after which the server may stop, [urgency] the rank from 0 (first) to 9 at a model engine,
+ * [resumeAfter] the event after which a stream goes on and [fetchFrom] the address of an engine that keeps the prompt.
  */
 data class ForwardingMetadata(
     val server: BackendServerId,
@@ -16,4 +16,5 @@
     val organisation: OrganisationId?,
     val urgency: Int?,
     val resumeAfter: String?,
+    val fetchFrom: String? = null,
 )
--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerBoard.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerBoard.kt
@@ -5,13 +5,16 @@
 import io.tarragonport.api.gateway.RegisteredServer
 import io.tarragonport.api.id.BackendServerId
 import io.tarragonport.api.id.ServiceId
+import kotlin.time.TimeSource
 
 /**
  * All backend servers with their load, as the traffic thread knows them.
  *
  * A server that started again under its old id is a new server: it keeps nothing of what was known of the old one.
  */
-class ServerBoard {
+class ServerBoard(
+    private val clock: TimeSource.WithComparableMarks,
+) {
     private val states = mutableMapOf<BackendServerId, ServerState>()
     private var byService: Map<ServiceId, List<ServerState>> = emptyMap()
     private var engines: Map<ServiceId, EngineLimits> = emptyMap()
@@ -41,8 +44,9 @@
         val present = registered.associateBy { it.id }
         val ended = states.values.filter { state -> ended(state, present[state.registered.id]) }
         ended.forEach { states -= it.registered.id }
+        val now = clock.markNow()
         registered.forEach { server ->
-            states.getOrPut(server.id) { ServerState(server).also(::limitCache) }.registered = server
+            states.getOrPut(server.id) { ServerState(server, now).also(::limitCache) }.registered = server
         }
         byService = states.values.groupBy { it.registered.service }
         divide()
--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerChoice.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerChoice.kt
@@ -1,9 +1,14 @@
 package io.tarragonport.core.gateway.balance
 
-/** The server that a request goes to, with what decided it. */
+/**
+ * The server that a request goes to, with what decided it.
+ *
+ * [fetchFrom] is an engine that keeps the shared parts of the prompt, where the chosen one has to get them first.
+ */
 data class ServerChoice(
     val server: ServerState,
     val score: Double,
     val tokensToRead: Int,
     val candidates: Int,
+    val fetchFrom: ServerState? = null,
 )
--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerSelector.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerSelector.kt
@@ -1,7 +1,6 @@
 package io.tarragonport.core.gateway.balance
 
 import io.tarragonport.api.gateway.PromptShape
-import io.tarragonport.api.id.BackendServerId
 import io.tarragonport.api.id.FailureDomainId
 import io.tarragonport.core.routing.RendezvousHash
 import kotlin.time.ComparableTimeMark
@@ -12,8 +11,8 @@
  *
  * A model engine's score is the expected time in milliseconds to the first event: unread prompts before this one, the
  * part of its own prompt that the engine has not read, and what running requests cost. All VMs rank engines alike for a
- * shared prompt part, so each part is read by one engine as long as that engine is not busy. Short and long prompts
- * prefer different engines ([EngineGroups]). A plain server's score is its expected time for the requests that it has.
+ * shared prompt part, so each part is read by one engine as long as that engine is not busy; another engine fetches it
+ * from there ([PromptHolders]). Short and long prompts prefer different engines ([EngineGroups]). A plain server's score is its expected time for the requests that it has.
  */
 class ServerSelector(
     private val board: ServerBoard,
@@ -45,19 +44,35 @@
         now: ComparableTimeMark,
     ): List<ServerChoice> {
         val forShort = board.shortPromptEngines(request.service)
-        val ownGroup = candidates.filter { (it.registered.id in forShort) == request.shortPrompt }
-        val preferred = preferred(prompt, ownGroup.ifEmpty { candidates })
+        val inGroup = { state: ServerState -> (state.registered.id in forShort) == request.shortPrompt }
+        val preferred = preferred(prompt, candidates.filter(inGroup).ifEmpty { candidates })
+        val holder = PromptHolders(board.servers(request.service).filter(inGroup), now).holder(prompt)
         return candidates.map { state ->
-            val other = forShort.isNotEmpty() && (state.registered.id in forShort) != request.shortPrompt
             val crossing =
-                if (!other) {
-                    0.0
-                } else if (request.shortPrompt) {
-                    SHORT_CROSSING_MS
-                } else {
-                    LONG_CROSSING_MS
+                when {
+                    forShort.isEmpty() || inGroup(state) -> 0.0
+                    request.shortPrompt -> SHORT_CROSSING_MS
+                    else -> LONG_CROSSING_MS
                 }
-            engineScore(state, prompt, now, preferred, crossing)
+            engineScore(state, prompt, now, knownPrompt(state, prompt, preferred, holder), crossing)
+        }
+    }
+
+    /** What [state] need not read of [prompt], where it gets that from, and what it costs. */
+    private fun knownPrompt(
+        state: ServerState,
+        prompt: PromptShape,
+        preferred: ServerState?,
+        holder: ServerState?,
+    ): KnownPrompt {
+        val shared = prompt.sharedParts.sumOf { it.tokens }
+        val sentBefore = state.cache.knownTokens(prompt.sharedParts)
+        val fetches = holder != null && holder !== state && shared - sentBefore >= LEAST_FETCHED_TOKENS
+        return when {
+            state === preferred -> KnownPrompt(shared, holder.takeIf { fetches }, 0.0)
+            state === holder -> KnownPrompt(shared, null, OTHER_ENGINE_MS)
+            fetches -> KnownPrompt(shared, holder, OTHER_ENGINE_MS + FETCH_MS)
+            else -> KnownPrompt(sentBefore, null, 0.0)
         }
     }
 
@@ -65,16 +80,15 @@
         state: ServerState,
         prompt: PromptShape,
         now: ComparableTimeMark,
-        preferred: BackendServerId?,
+        known: KnownPrompt,
         crossing: Double,
     ): ServerChoice {
-        val shared = prompt.sharedParts.sumOf { it.tokens }
-        val known = if (state.registered.id == preferred) shared else state.cache.knownTokens(prompt.sharedParts)
-        val toRead = (prompt.promptTokens - known).coerceAtLeast(0)
+        val toRead = (prompt.promptTokens - known.tokens).coerceAtLeast(0)
         val reading = (state.allUnreadTokens + toRead) / TOKENS_READ_PER_MS
         val running = state.allInFlight * RUNNING_COST_MS
         val distance = if (state.registered.domain == domain) 0.0 else OTHER_DOMAIN_MS
-        return ServerChoice(state, (reading + running + distance + crossing) * state.health.penalty(now), toRead, 0)
+        val time = reading + running + distance + crossing + known.costMs
+        return ServerChoice(state, time * state.health.penalty(now), toRead, 0, known.fetchFrom)
     }
 
     private fun plainScore(
@@ -90,15 +104,18 @@
     private fun preferred(
         prompt: PromptShape,
         candidates: List<ServerState>,
-    ): BackendServerId? {
+    ): ServerState? {
         val part = prompt.sharedParts.lastOrNull() ?: return null
         val key = RendezvousHash.of(part.id)
-        return candidates
-            .maxByOrNull { RendezvousHash.weight(key, it.idHash) }
-            ?.registered
-            ?.id
+        return candidates.maxByOrNull { RendezvousHash.weight(key, it.idHash) }
     }
 
+    private class KnownPrompt(
+        val tokens: Int,
+        val fetchFrom: ServerState?,
+        val costMs: Double,
+    )
+
     private companion object {
         /** Prompt tokens that an engine reads in a millisecond, from the deployments' sheets (48 to 57). */
         const val TOKENS_READ_PER_MS = 50.0
@@ -109,6 +126,15 @@
         /** Network time to another failure domain and back, and a share of the price of the bytes. */
         const val OTHER_DOMAIN_MS = 3.0
 
+        /** What an engine beside the preferred one costs: its copy of the prompt takes the room of another. */
+        const val OTHER_ENGINE_MS = 60.0
+
+        /** Transfer of 13,000 tokens over the engines' links, with a wait for another transfer. */
+        const val FETCH_MS = 20.0
+
+        /** Reading so many tokens takes twice as long as fetching them. */
+        const val LEAST_FETCHED_TOKENS = 2_000
+
         /** A short prompt goes among long ones rather than wait longer than two chunks of reading (72 ms each). */
         const val SHORT_CROSSING_MS = 150.0
 
--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerState.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerState.kt
@@ -5,9 +5,10 @@
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration.Companion.milliseconds
 
-/** What this VM knows of one backend server that it sends requests to. */
+/** What this VM knows of one backend server that it sends requests to; [knownSince] is when it heard of it first. */
 class ServerState(
     registered: RegisteredServer,
+    val knownSince: ComparableTimeMark,
 ) {
     /** The server's newest registration. */
     var registered: RegisteredServer = registered
@@ -45,7 +46,12 @@
     val allUnreadTokens: Long get() = unreadTokens + others.unreadTokens
 
     /** Whether the server may get a request at [now]. */
-    fun open(now: ComparableTimeMark): Boolean = !registered.leaving && (closedUntil?.let { it <= now } ?: true)
+    fun open(now: ComparableTimeMark): Boolean = !registered.leaving && reachable(now)
+
+    /** Whether the server answers, as far as is known, and has not failed lately. */
+    fun sound(now: ComparableTimeMark): Boolean = reachable(now) && health.penalty(now) < SOUND_PENALTY
+
+    private fun reachable(now: ComparableTimeMark): Boolean = closedUntil?.let { it <= now } ?: true
 
     /** Keeps requests away from the server until [until]. */
     fun closeUntil(until: ComparableTimeMark) {
@@ -70,6 +76,9 @@
     }
 
     companion object {
+        /** One failure whose weight has fallen to a half. */
+        private const val SOUND_PENALTY = 2.0
+
         /** Pause after a refusal for lack of room: a few steps of a batch. */
         val FULL_PAUSE = 50.milliseconds
 
--- a/tarragonport-core/src/test/kotlin/io/tarragonport/core/gateway/balance/ServerSelectorTest.kt
+++ b/tarragonport-core/src/test/kotlin/io/tarragonport/core/gateway/balance/ServerSelectorTest.kt
@@ -15,7 +15,7 @@
     private val clock = TestTimeSource()
 
     private fun board(count: Int): ServerBoard {
-        val board = ServerBoard()
+        val board = ServerBoard(clock)
         board.configure(listOf(Samples.engineService()))
         board.update((1..count).map { Samples.server("s$it", domain = listOf("a", "b", "c")[it % 3]) })
         return board
@@ -63,6 +63,45 @@
         assertTrue(counts.values.max() < 3 * 400 / engines, "$counts")
     }
 
+    @Test
+    fun `an engine that joined late fetches a shared prompt from the engine that read it`() {
+        val board = board(12)
+        clock += 20_000.milliseconds
+        val before = (1..100).associate { "part-$it" to choose(board, "part-$it")!!.server }
+        board.update(board.all.map { it.registered } + Samples.server("late-1") + Samples.server("late-2"))
+        val moved = before.keys.filter { choose(board, it)!!.server.registered.id.value.startsWith("late") }
+        assertTrue(moved.isNotEmpty())
+        moved.forEach { assertEquals(before[it], choose(board, it)!!.fetchFrom, it) }
+        clock += 11_000.milliseconds
+        moved.forEach { assertNull(choose(board, it)!!.fetchFrom, it) }
+    }
+
+    @Test
+    fun `prompts of a leaving engine are fetched from it unless it failed`() {
+        val board = board(12)
+        clock += 20_000.milliseconds
+        val holder = choose(board, "part")!!.server
+        board.update(board.all.map { it.registered.copy(leaving = it === holder) })
+        val choice = choose(board, "part")!!
+        assertTrue(choice.server !== holder)
+        assertEquals(holder to 4_000, choice.fetchFrom to choice.tokensToRead)
+        repeat(3) { holder.health.failed(clock.markNow()) }
+        assertTrue(choose(board, "part")!!.fetchFrom !== holder)
+    }
+
+    @Test
+    fun `a prompt that an engine was sent before and a short one are not fetched`() {
+        val board = board(12)
+        clock += 20_000.milliseconds
+        val holder = choose(board, "part")!!.server
+        repeat(40) { holder.started(13_000) }
+        val other = choose(board, "part")!!
+        assertEquals(holder, other.fetchFrom)
+        other.server.cache.sent(Samples.prompt(13_000, 4_000, "part").sharedParts)
+        assertNull(choose(board, "part")!!.fetchFrom)
+        assertNull(choose(board, "chat", short = true)!!.fetchFrom)
+    }
+
     @Test
     fun `a busy engine gives way`() {
         val board = board(12)
@@ -94,7 +133,7 @@
 
     @Test
     fun `engines for quick chats are ordinary ones as far as there are any`() {
-        val board = ServerBoard()
+        val board = ServerBoard(clock)
         board.configure(listOf(Samples.engineService()))
         val servers =
             (1..12).map {
@@ -127,7 +166,7 @@
 
     @Test
     fun `leaving, closed and excluded servers get nothing`() {
-        val board = ServerBoard()
+        val board = ServerBoard(clock)
         board.configure(listOf(Samples.engineService()))
         board.update(listOf(Samples.server("s1", leaving = true), Samples.server("s2"), Samples.server("s3")))
         val closed = board.all.first { it.registered.id.value == "s2" }
@@ -154,7 +193,7 @@
 
     @Test
     fun `a server that starts again under its id is a new one`() {
-        val board = ServerBoard()
+        val board = ServerBoard(clock)
         board.update(listOf(Samples.server("s1", startedAtMs = 1)))
         val before = board.all.single()
         before.started(100)
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Exchange.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Exchange.kt
@@ -173,21 +173,23 @@
             "score" to choice.score.toLong(),
             "candidates" to choice.candidates,
             "to_read" to choice.tokensToRead,
+            "fetch_from" to choice.fetchFrom?.registered?.id,
             "in_flight" to server.inFlight,
             "configuration" to served.version,
         )
-        started.start(state.pools.of(server.registered), { outgoing(server) }, state::now)
+        started.start(state.pools.of(server.registered), { outgoing(choice) }, state::now)
     }
 
-    private fun outgoing(server: ServerState): OutgoingRequest {
+    private fun outgoing(choice: ServerChoice): OutgoingRequest {
         val left = deadline - state.now()
         val metadata =
             ForwardingMetadata(
-                server = server.registered.id,
+                server = choice.server.registered.id,
                 remaining = left,
                 organisation = served.organisation,
                 urgency = request.metadata.prompt?.let { served.priority.coerceIn(URGENCIES) },
                 resumeAfter = lastEventId,
+                fetchFrom = choice.fetchFrom?.registered?.address,
             )
         val headers = ForwardedHeaders.toServer(request, metadata)
         headers.set("Host", request.host)
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/TrafficState.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/TrafficState.kt
@@ -41,7 +41,7 @@
     /** VMs that share the servers' connections and the retry budget, this one included. */
     var liveVms = 1
 
-    val board = ServerBoard()
+    val board = ServerBoard(clock)
     val selector = ServerSelector(board, settings.failureDomain)
     val prompts = PromptProfile()
     val pools = ConnectionPools(loop, clock)
