--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/fleet/FleetView.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/fleet/FleetView.kt
@@ -4,14 +4,15 @@
 import io.tarragonport.api.id.ServiceId
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 
 /**
  * The VMs as their records show them.
  *
- * A record that changed within [LIVE_FOR] of the observer's own clock belongs to a live VM; clocks of different VMs are
- * never compared. Counts of usage stay valid after their VM has ended.
+ * A record that changed within [LIVE_INTERVALS] of its own interval belongs to a live VM; only the observer's clock is
+ * read, because clocks of different VMs differ. Counts of usage stay valid after their VM has ended.
  */
 class FleetView(
     private val clock: TimeSource.WithComparableMarks,
@@ -19,7 +20,9 @@
     private class Seen(
         val record: VmRecord,
         val since: ComparableTimeMark,
-    )
+    ) {
+        val interval get() = record.nextInMs.milliseconds
+    }
 
     private val byName = mutableMapOf<String, Seen>()
 
@@ -35,11 +38,15 @@
     /** Records of live VMs, the newest incarnation of each. */
     fun live(): List<VmRecord> =
         byName.values
-            .filter { it.since.elapsedNow() < LIVE_FOR }
+            .filter { it.since.elapsedNow() < it.interval * LIVE_INTERVALS }
             .map { it.record }
             .groupBy { it.vm }
             .map { (_, records) -> records.maxBy { it.incarnation } }
 
+    /** The longest time between two records of a live VM. */
+    fun longestInterval(): Duration =
+        live().maxOfOrNull { it.nextInMs.milliseconds } ?: FleetPace.RECORD_INTERVAL
+
     /** Names of records that have not changed for [KEPT_FOR]: their windows are closed. */
     fun outdated(): List<String> = byName.filterValues { it.since.elapsedNow() >= KEPT_FOR }.keys.toList()
 
@@ -59,8 +66,8 @@
         live().mapNotNull { it.demand[service] }.fold(ServiceDemand.NONE, ServiceDemand::plus)
 
     companion object {
-        /** Three intervals between records. */
-        val LIVE_FOR: Duration = 6.5.seconds
+        /** Two records may be lost, and the third be late. */
+        const val LIVE_INTERVALS = 3.25
 
         /** Longer than a window may stay open. */
         val KEPT_FOR: Duration = 45.seconds
--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/fleet/VmRecord.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/fleet/VmRecord.kt
@@ -11,7 +11,7 @@
  * What a VM writes about itself every few seconds.
  *
  * [windows] holds its counts of the newest usage windows, each complete in itself, so that a write that is lost or
- * repeated changes nothing. [demand] is the load that it sends to each service, [crashes] are requests that it saw in
+ * repeated changes nothing. The next record follows after [nextInMs] milliseconds. [demand] is the load that it sends to each service, [crashes] are requests that it saw in
  * flight when a server broke off, by fingerprint.
  */
 @Serializable
@@ -23,4 +23,5 @@
     val windows: Map<Long, Map<OrganisationId, Long>>,
     val demand: Map<ServiceId, ServiceDemand>,
     val crashes: List<CrashSighting> = emptyList(),
+    val nextInMs: Long = FleetPace.RECORD_INTERVAL.inWholeMilliseconds,
 )
--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/registry/ServerRegistry.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/registry/ServerRegistry.kt
@@ -24,6 +24,9 @@
     /** Servers in use or leaving. */
     val servers: Collection<RegisteredServer> get() = entries.values
 
+    /** Whether an entry lapsed that may still return. */
+    val awaitsReturns: Boolean get() = missing.isNotEmpty()
+
     /** Takes the complete listing [listed]; [afterOutage] tells whether the store was away before it. */
     fun replace(
         listed: Collection<RegisteredServer>,
--- a/tarragonport-core/src/test/kotlin/io/tarragonport/core/gateway/fleet/FleetViewTest.kt
+++ b/tarragonport-core/src/test/kotlin/io/tarragonport/core/gateway/fleet/FleetViewTest.kt
@@ -56,10 +56,18 @@
         assertEquals(ServiceDemand(200.0, 4.0), view.demand(service))
     }
 
+    @Test
+    fun `a record with a long interval is live for longer`() {
+        view.update(mapOf("v1-1" to record("v1", 1, 1, 3), "v2-1" to record("v2", 1, 1, 4).copy(nextInMs = 5_000)))
+        clock += 10.seconds
+        assertEquals(listOf("v2"), view.live().map { it.vm.value })
+        assertEquals(5.seconds, view.longestInterval())
+    }
+
     @Test
     fun `a record that no longer changes is a VM that ended`() {
         view.update(mapOf("v1-1" to record("v1", 1, 1, 3)))
-        clock += FleetView.LIVE_FOR
+        clock += FleetPace.RECORD_INTERVAL * FleetView.LIVE_INTERVALS
         assertEquals(emptyList(), view.live())
         assertEquals(emptyList(), view.outdated())
         clock += FleetView.KEPT_FOR
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ControlPart.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ControlPart.kt
@@ -5,6 +5,7 @@
 import io.tarragonport.api.id.ServiceId
 import io.tarragonport.api.peer.CrashSighting
 import io.tarragonport.api.settings.GatewaySettings
+import io.tarragonport.core.gateway.fleet.FleetPace
 import io.tarragonport.core.gateway.fleet.FleetView
 import io.tarragonport.core.gateway.fleet.ServiceDemandMeter
 import io.tarragonport.core.gateway.fleet.VmRecord
@@ -72,15 +73,16 @@
                 state.dispatchWaiting()
             }
         }
-    private val configurationWatch = KindWatch(ConfigurationDecoder.PREFIX, store, clock, log, configuration)
-    private val serverWatch = KindWatch(ServerDecoder.PREFIX, store, clock, log, servers)
+    private var pace = FleetPace(liveVms = 1)
+    private val configurationWatch = KindWatch(ConfigurationDecoder.PREFIX, store, clock, log, configuration) { pace }
+    private val serverWatch = KindWatch(ServerDecoder.PREFIX, store, clock, log, servers) { pace }
 
     private val wall = SteadyWallClock(Clock.System, clock)
     private val demand = ServiceDemandMeter(clock)
     private val incarnation = Incarnation(Clock.System.now().toEpochMilliseconds())
     private val view = FleetView(clock)
-    private val record = VmRecordLoop("$RECORDS${settings.vmId}-$incarnation", store, log, ::ownRecord)
-    private val fleet = FleetLoop(RECORDS, store, store, view, log, ::fleetChanged)
+    private val record = VmRecordLoop("$RECORDS${settings.vmId}-$incarnation", store, log, { pace.recordInterval }, ::ownRecord)
+    private val fleet = FleetLoop(RECORDS, store, store, view, log, { pace.recordInterval }, ::fleetChanged)
     private val peerAddress = "${settings.ip}:${settings.peerPorts.first()}"
     private val peers =
         GatewayPeers(
@@ -161,6 +163,7 @@
     }
 
     private fun fleetChanged(live: List<VmRecord>) {
+        pace = FleetPace(live.size)
         peers.know(live.map { it.peerAddress })
         val crashes = live.filter { it.vm != settings.vmId }.flatMap { it.crashes }
         onTraffic { state ->
@@ -173,7 +176,16 @@
     private fun ownRecord(beat: Long): VmRecord {
         val newest = meter.windowAt(wall.now())
         val windows = meter.after(newest - WINDOWS_IN_RECORD).associate { it.window to it.requests }
-        return VmRecord(settings.vmId, incarnation, peerAddress, beat, windows, demand.read(), seenCrashes)
+        return VmRecord(
+            vm = settings.vmId,
+            incarnation = incarnation,
+            peerAddress = peerAddress,
+            beat = beat,
+            windows = windows,
+            demand = demand.read(),
+            crashes = seenCrashes,
+            nextInMs = pace.recordInterval.inWholeMilliseconds,
+        )
     }
 
     private fun dutyLoop(
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/FleetLoop.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/FleetLoop.kt
@@ -10,7 +10,6 @@
 import kotlinx.coroutines.delay
 import kotlinx.serialization.SerializationException
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
 
 /** Reads the records of all VMs: often while this VM holds the duties, otherwise seldom and from a cheap listing. */
 internal class FleetLoop(
@@ -19,6 +18,7 @@
     private val recent: RecentListing,
     private val view: FleetView,
     private val log: ControlLog,
+    private val interval: () -> Duration,
     private val changed: (live: List<VmRecord>) -> Unit,
 ) {
     private var liveBefore = 0
@@ -27,7 +27,7 @@
     suspend fun run() {
         while (true) {
             recent.listRecent(prefix).onRight(::take)
-            delay(INTERVAL)
+            delay(interval())
         }
     }
 
@@ -51,9 +51,4 @@
             log.event(GatewayEvents.RECORD_FAILED, "error" to exception.message)
             null
         }
-
-    private companion object {
-        /** The interval of the records: crashes that other VMs saw must be known before a request comes again often. */
-        val INTERVAL: Duration = 2.seconds
-    }
 }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/GatewayPeers.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/GatewayPeers.kt
@@ -95,8 +95,8 @@
         /** Below every version of a configuration. */
         private const val NO_VERSION = -1L
 
-        /** Six others are all of a small deployment; in a large one, news reaches every VM in a few intervals. */
-        const val FANOUT = 6
+        /** With three, half of a small deployment hears in one interval, and a large one in a few. */
+        const val FANOUT = 3
         private const val MOST_ADDRESSES = 512
 
         /** Several announcements within the time in which a configuration has to be in force. */
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/KindWatch.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/KindWatch.kt
@@ -4,6 +4,7 @@
 import io.tarragonport.api.platform.ObjectListing
 import io.tarragonport.api.platform.ObjectStore
 import io.tarragonport.api.platform.PlatformError
+import io.tarragonport.core.gateway.fleet.FleetPace
 import io.tarragonport.daemon.gateway.exchange.GatewayEvents
 import kotlinx.coroutines.delay
 import kotlin.time.ComparableTimeMark
@@ -16,7 +17,8 @@
  * Follows all objects of one kind: lists them once, then watches for changes.
  *
  * A watch that breaks goes on from where it was. If the store has discarded the changes in between, or the store was
- * away, everything is listed again. A connection that went silent is found after [WATCH_WAIT] and the client's slack.
+ * away, everything is listed again. A connection that went silent is found after the waiting time of [pace] and the
+ * client's slack.
  */
 internal class KindWatch(
     private val prefix: String,
@@ -24,6 +26,7 @@
     private val clock: TimeSource.WithComparableMarks,
     private val log: ControlLog,
     private val follower: KindFollower,
+    private val pace: () -> FleetPace,
 ) {
     private var position: ObjectVersion? = null
     private var failingSince: ComparableTimeMark? = null
@@ -40,7 +43,7 @@
         if (from == null) {
             store.list(prefix, withValues = true).fold({ failed(it) }, ::listed)
         } else {
-            store.watch(prefix, from, WATCH_WAIT).fold({ failed(it) }) { changed(it, from) }
+            store.watch(prefix, from, pace().watchWait).fold({ failed(it) }) { changed(it, from) }
         }
     }
 
@@ -62,6 +65,7 @@
         }
         position = maxOf(listing.revision, from)
         listing.objects.forEach { follower.changed(it) }
+        if (listing.objects.isNotEmpty()) delay(pace().gatherChanges)
     }
 
     private suspend fun failed(error: PlatformError) {
@@ -87,9 +91,6 @@
     }
 
     companion object {
-        /** Waiting time of a watch: short enough to notice a silent connection within a configuration's time limit. */
-        val WATCH_WAIT: Duration = 2.5.seconds
-
         /** Pause after a failed call. */
         val RETRY_DELAY: Duration = 200.milliseconds
 
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ServerFollower.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ServerFollower.kt
@@ -67,7 +67,7 @@
     /** Removes entries that did not return after an outage. */
     suspend fun expireMissing() {
         while (true) {
-            delay(EXPIRY_INTERVAL)
+            delay(if (registry.awaitsReturns) EXPIRY_INTERVAL else IDLE_INTERVAL)
             val gone = registry.expire()
             gone.forEach { log.event(GatewayEvents.SERVER_GONE, "server" to it, "reason" to "missing after an outage") }
             if (gone.isNotEmpty()) publish()
@@ -87,5 +87,8 @@
 
     private companion object {
         val EXPIRY_INTERVAL: Duration = 100.milliseconds
+
+        /** A quarter of the time that a lapsed entry has to return: wakes an idle process seldom. */
+        val IDLE_INTERVAL: Duration = 500.milliseconds
     }
 }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/UsageDuty.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/UsageDuty.kt
@@ -25,8 +25,8 @@
  * Reports each usage window once, with one figure.
  *
  * The figure of a window is fixed by creating an object in the store before it is reported; whoever holds the duty
- * later reports the same figure again, which has no effect. A window is closed [CLOSE_DELAY] after its end, when every
- * VM has written its counts.
+ * later reports the same figure again, which has no effect. A window is closed when every VM
+ * has had the time to write its counts.
  */
 internal class UsageDuty(
     private val vm: VmId,
@@ -51,7 +51,7 @@
     private fun openWindows(): List<Long> {
         val now = clock.now().toEpochMilliseconds()
         val length = window.inWholeMilliseconds
-        val last = (now - CLOSE_DELAY.inWholeMilliseconds) / length - 1
+        val last = (now - (view.longestInterval() + WRITE_SLACK).inWholeMilliseconds) / length - 1
         val first = (now - due.inWholeMilliseconds) / length
         return (first..last).filter { it !in reported }
     }
@@ -95,8 +95,8 @@
         const val FIXED_PREFIX = "usage-windows/"
         val COUNTS = MapSerializer(OrganisationId.serializer(), Long.serializer())
 
-        /** One interval between records of a VM and the time to write one. */
-        val CLOSE_DELAY: Duration = 3.seconds
+        /** Time to write a record, with one repeat. */
+        val WRITE_SLACK: Duration = 1.seconds
 
         /** Windows that were reported lately; older ones are not asked for again. */
         const val REMEMBERED = 16
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/VmRecordLoop.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/VmRecordLoop.kt
@@ -9,10 +9,9 @@
 import io.tarragonport.daemon.gateway.exchange.GatewayEvents
 import kotlinx.coroutines.delay
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
 
 /**
- * Writes this VM's record every [INTERVAL] and once more at the end.
+ * Writes this VM's record after each [interval] and once more at the end.
  *
  * Only this process writes the object, so a conflict means that an earlier write took effect without an answer.
  */
@@ -20,6 +19,7 @@
     private val name: String,
     private val store: ObjectStore,
     private val log: ControlLog,
+    private val interval: () -> Duration,
     private val record: (beat: Long) -> VmRecord,
 ) {
     private var version: ObjectVersion? = null
@@ -29,7 +29,7 @@
     suspend fun run() {
         while (true) {
             write()
-            delay(INTERVAL)
+            delay(interval())
         }
     }
 
@@ -45,9 +45,4 @@
             { written -> version = written },
         )
     }
-
-    companion object {
-        /** Usage that a killed VM loses is at most that of one interval; seven VMs make four writes a second of 400. */
-        val INTERVAL: Duration = 2.seconds
-    }
 }
