Share the load of backend servers among the VMs

VMs tell each other every 200 ms what they have at servers: each to each up to 12 VMs, through the root of the fleet's size of relays beyond. A VM without load is silent. Ruled out: reading the engines' reports on every VM, which is priced as a probe and says nothing of unread prompts.

--- a/tarragonport-api/src/main/kotlin/io/tarragonport/api/peer/PeerMessage.kt
+++ b/tarragonport-api/src/main/kotlin/io/tarragonport/api/peer/PeerMessage.kt
@@ -148,4 +148,18 @@
         @CborLabel(1) val configuration: String,
         @CborLabel(2) val servers: Map<String, String>,
     ) : PeerMessage
+
+    /** What the sender has at backend servers, with that of the VMs whose reports it passes on. */
+    @Serializable
+    @SerialName("gl")
+    data class LoadReport(
+        @CborLabel(1) val loads: List<ServerLoadShare>,
+    ) : PeerMessage
+
+    /** What all VMs but the receiver have at backend servers. */
+    @Serializable
+    @SerialName("go")
+    data class LoadOfOthers(
+        @CborLabel(1) val loads: List<ServerLoadShare>,
+    ) : PeerMessage
 }
--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerBoard.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerBoard.kt
@@ -53,6 +53,12 @@
         return ended
     }
 
+    /** What this VM has at servers, without those where it has nothing. */
+    fun ownLoads(): Map<BackendServerId, ServerLoad> =
+        states
+            .filterValues { it.inFlight > 0 }
+            .mapValues { (_, state) -> ServerLoad(state.inFlight, state.unreadTokens) }
+
     /** Takes what the other VMs have at the servers. */
     fun updateOthers(loads: Map<BackendServerId, ServerLoad>) {
         states.forEach { (id, state) -> state.others = loads[id] ?: ServerLoad.NONE }
--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerLoad.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerLoad.kt
@@ -5,6 +5,8 @@
     val inFlight: Int,
     val unreadTokens: Long,
 ) {
+    operator fun plus(other: ServerLoad) = ServerLoad(inFlight + other.inFlight, unreadTokens + other.unreadTokens)
+
     companion object {
         val NONE = ServerLoad(0, 0)
     }
--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerSelector.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerSelector.kt
@@ -85,12 +85,16 @@
     ): ServerChoice {
         val toRead = (prompt.promptTokens - known.tokens).coerceAtLeast(0)
         val reading = (state.allUnreadTokens + toRead) / TOKENS_READ_PER_MS
-        val running = state.allInFlight * RUNNING_COST_MS
+        val running = state.allInFlight * RUNNING_COST_MS + queued(state) * QUEUED_COST_MS
         val distance = if (state.registered.domain == domain) 0.0 else OTHER_DOMAIN_MS
         val time = reading + running + distance + crossing + known.costMs
         return ServerChoice(state, time * state.health.penalty(now), toRead, 0, known.fetchFrom)
     }
 
+    /** Requests that found no place in the engine's batch, this one included. */
+    private fun queued(state: ServerState): Int =
+        (state.allInFlight + 1 - state.registered.slots.coerceAtLeast(1)).coerceAtLeast(0)
+
     private fun plainScore(
         state: ServerState,
         now: ComparableTimeMark,
@@ -120,8 +124,11 @@
         /** Prompt tokens that an engine reads in a millisecond, from the deployments' sheets (48 to 57). */
         const val TOKENS_READ_PER_MS = 50.0
 
-        /** What one running request adds to a step of the batch, a few times over until the first event. */
-        const val RUNNING_COST_MS = 2.0
+        /** What one running request adds to five steps of the batch (0.09 ms a step), which a long prompt waits for. */
+        const val RUNNING_COST_MS = 0.5
+
+        /** A place in a full batch of 64 becomes free every 20 to 40 ms, when streams last one to two seconds. */
+        const val QUEUED_COST_MS = 30.0
 
         /** Network time to another failure domain and back, and a share of the price of the bytes. */
         const val OTHER_DOMAIN_MS = 3.0
--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/membership/Membership.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/membership/Membership.kt
@@ -133,6 +133,7 @@
             is PeerMessage.LimitShare, is PeerMessage.IntentCommit, is PeerMessage.IntentCommitted,
             is PeerMessage.CrashAnnouncement, is PeerMessage.CrashAcknowledgement,
             is PeerMessage.GatewayState, is PeerMessage.GatewayKnowledgeRequest, is PeerMessage.GatewayKnowledge,
+            is PeerMessage.LoadReport, is PeerMessage.LoadOfOthers,
             -> emptyList()
         }
 
--- /dev/null
+++ b/tarragonport-core/src/test/kotlin/io/tarragonport/core/gateway/fleet/LoadExchangeTest.kt
@@ -0,0 +1,82 @@
+package io.tarragonport.core.gateway.fleet
+
+import io.tarragonport.api.id.BackendServerId
+import io.tarragonport.api.id.VmId
+import io.tarragonport.core.gateway.balance.ServerLoad
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TestTimeSource
+
+/** Load pattern: many VMs that each see a small part of the traffic and must not choose the same busy server. */
+class LoadExchangeTest {
+    private val clock = TestTimeSource()
+    private val server = BackendServerId("s1")
+
+    private inner class Fleet(
+        size: Int,
+    ) {
+        val ids = (1..size).map { VmId("vm-$it") }
+        val exchanges = ids.associateWith { LoadExchange(it, clock).apply { know(ids) } }
+        val own = ids.associateWith { mapOf(server to ServerLoad(1, 100)) }.toMutableMap()
+        var sent = 0
+        var mostSentByOne = 0
+
+        fun round(lost: Set<VmId> = emptySet()) {
+            ids.filter { it !in lost }.forEach { id ->
+                val messages = exchanges.getValue(id).outgoing(own.getValue(id))
+                sent += messages.size
+                mostSentByOne = maxOf(mostSentByOne, messages.size)
+                messages.filter { it.receiver !in lost }.forEach { message ->
+                    val receiver = exchanges.getValue(message.receiver)
+                    if (message.ofOthers) receiver.told(message.loads) else receiver.reported(id, message.loads)
+                }
+            }
+        }
+
+        fun others(): Set<Int> = ids.map { exchanges.getValue(it).others()[server]?.inFlight ?: 0 }.toSet()
+    }
+
+    @Test
+    fun `every VM learns what all others have in fleets of any size`() {
+        listOf(1, 2, 7, 12, 13, 87, 410).forEach { size ->
+            val fleet = Fleet(size)
+            repeat(3) { fleet.round() }
+            assertEquals(setOf(size - 1), fleet.others(), "$size VMs")
+        }
+    }
+
+    @Test
+    fun `the messages of one VM grow with the root of the fleet`() {
+        listOf(7 to 6, 87 to 40, 410 to 80).forEach { (size, most) ->
+            val fleet = Fleet(size)
+            fleet.round()
+            assertTrue(fleet.mostSentByOne <= most, "$size VMs: ${fleet.mostSentByOne}")
+            assertTrue(fleet.sent <= size * 7, "$size VMs: ${fleet.sent} in all")
+        }
+    }
+
+    @Test
+    fun `what a lost VM had counts no more after a while`() {
+        val fleet = Fleet(7)
+        fleet.round()
+        repeat(10) {
+            clock += 200.milliseconds
+            fleet.round(lost = setOf(VmId("vm-1")))
+        }
+        assertEquals(5, fleet.exchanges.getValue(VmId("vm-2")).others()[server]?.inFlight)
+    }
+
+    @Test
+    fun `VMs without load fall silent after they said so`() {
+        val fleet = Fleet(7)
+        fleet.round()
+        fleet.ids.forEach { fleet.own[it] = emptyMap() }
+        fleet.round()
+        assertEquals(setOf(0), fleet.others())
+        val before = fleet.sent
+        fleet.round()
+        assertEquals(before, fleet.sent)
+    }
+}
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/configuration/PeerSections.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/configuration/PeerSections.kt
@@ -55,6 +55,7 @@
             is PeerMessage.IntentCommit, is PeerMessage.IntentCommitted,
             is PeerMessage.CrashAnnouncement, is PeerMessage.CrashAcknowledgement,
             is PeerMessage.GatewayState, is PeerMessage.GatewayKnowledgeRequest, is PeerMessage.GatewayKnowledge,
+            is PeerMessage.LoadReport, is PeerMessage.LoadOfOthers,
             -> Unit
         }
     }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ControlPart.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ControlPart.kt
@@ -1,12 +1,15 @@
 package io.tarragonport.daemon.gateway.control
 
+import io.tarragonport.api.id.BackendServerId
 import io.tarragonport.api.id.Incarnation
 import io.tarragonport.api.id.OrganisationId
 import io.tarragonport.api.id.ServiceId
 import io.tarragonport.api.peer.CrashSighting
 import io.tarragonport.api.settings.GatewaySettings
+import io.tarragonport.core.gateway.balance.ServerLoad
 import io.tarragonport.core.gateway.fleet.FleetPace
 import io.tarragonport.core.gateway.fleet.FleetView
+import io.tarragonport.core.gateway.fleet.LoadExchange
 import io.tarragonport.core.gateway.fleet.ServiceDemandMeter
 import io.tarragonport.core.gateway.fleet.VmRecord
 import io.tarragonport.core.gateway.registry.ServerRegistry
@@ -93,7 +96,20 @@
             dispatcher,
             configuration,
             servers,
+            received = { from, message -> loads.receive(from, message) },
         )
+
+    /** What this VM had at backend servers when the traffic thread was asked last. */
+    @Volatile
+    private var ownLoads: Map<BackendServerId, ServerLoad> = emptyMap()
+    private val loads: LoadLoop =
+        LoadLoop(settings.vmId, LoadExchange(settings.vmId, clock), { pace.loadInterval }, peers::send) { others ->
+            onTraffic { state ->
+                state.board.updateOthers(others)
+                ownLoads = state.board.ownLoads()
+            }
+            ownLoads
+        }
     private val duties = settings.dutyUrl?.let { dutyLoop(PlatformHttp(it, DUTY_TIMEOUTS), clock) }
 
     /** Where the traffic thread counts what it sends and what began to run. */
@@ -128,6 +144,7 @@
         peers.know(settings.seeds.map { "${it.substringBeforeLast(':')}:${settings.peerPorts.first()}" })
         part("peer messages") { peers.listen() }
         part("announcements") { peers.announce() }
+        part("loads") { loads.run() }
         duties?.let { (lease, loop) ->
             part("lease") { lease.run() }
             part("duties") { loop.run() }
@@ -165,6 +182,7 @@
     private fun fleetChanged(live: List<VmRecord>) {
         pace = FleetPace(live.size)
         peers.know(live.map { it.peerAddress })
+        loads.know(live)
         val crashes = live.filter { it.vm != settings.vmId }.flatMap { it.crashes }
         onTraffic { state ->
             state.liveVms = maxOf(live.size, 1)
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/GatewayPeers.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/GatewayPeers.kt
@@ -29,6 +29,7 @@
     private val configuration: ConfigurationFollower,
     private val servers: ServerFollower,
     private val random: Random = Random.Default,
+    private val received: (VmId, PeerMessage) -> Unit = { _, _ -> },
 ) {
     private val addresses = linkedSetOf<String>()
 
@@ -38,8 +39,8 @@
         while (addresses.size > MOST_ADDRESSES) addresses.remove(addresses.first())
     }
 
-    /** Receives and announces until it is cancelled. */
-    suspend fun listen() = transport.run { envelope -> withContext(dispatcher) { receive(envelope.message) } }
+    /** Receives until it is cancelled; other messages than those about knowledge of the store go to [received]. */
+    suspend fun listen() = transport.run { envelope -> withContext(dispatcher) { receive(envelope) } }
 
     /** Announces until it is cancelled. */
     suspend fun announce() {
@@ -56,8 +57,8 @@
     }
 
     /** Takes a message of another VM. */
-    fun receive(message: PeerMessage) {
-        when (message) {
+    fun receive(envelope: PeerEnvelope) {
+        when (val message = envelope.message) {
             is PeerMessage.GatewayState -> {
                 know(listOf(message.address))
                 val incomplete = servers.known.isEmpty()
@@ -78,7 +79,7 @@
             }
 
             else -> {
-                Unit
+                received(envelope.from, message)
             }
         }
     }
@@ -86,7 +87,8 @@
     private fun version(): ConfigurationVersion =
         configuration.inForce?.content?.version ?: ConfigurationVersion(NO_VERSION)
 
-    private fun send(
+    /** Sends [message] to the VM at [address]. */
+    fun send(
         address: String,
         message: PeerMessage,
     ) = transport.send(address, PeerEnvelope(vm, incarnation, message))
--- a/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/GatewayPeersTest.kt
+++ b/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/GatewayPeersTest.kt
@@ -75,7 +75,7 @@
         while (queue.isNotEmpty()) {
             val (address, bytes) = queue.removeFirst()
             val envelope = PeerCodec.decode(bytes).getOrNull()
-            envelope?.let { network[address]?.peers?.receive(it.message) }
+            envelope?.let { network[address]?.peers?.receive(it) }
         }
     }
 
