Delete objects of the store that nobody needs any more

Cause: records of ended VMs and figures of reported windows were never deleted, so the store grew with every start and every window.

--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/fleet/FleetView.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/fleet/FleetView.kt
@@ -44,8 +44,7 @@
             .map { (_, records) -> records.maxBy { it.incarnation } }
 
     /** The longest time between two records of a live VM. */
-    fun longestInterval(): Duration =
-        live().maxOfOrNull { it.nextInMs.milliseconds } ?: FleetPace.RECORD_INTERVAL
+    fun longestInterval(): Duration = live().maxOfOrNull { it.nextInMs.milliseconds } ?: FleetPace.RECORD_INTERVAL
 
     /** Names of records that have not changed for [KEPT_FOR]: their windows are closed. */
     fun outdated(): List<String> = byName.filterValues { it.since.elapsedNow() >= KEPT_FOR }.keys.toList()
--- a/tarragonport-core/src/test/kotlin/io/tarragonport/core/gateway/balance/ServerSelectorTest.kt
+++ b/tarragonport-core/src/test/kotlin/io/tarragonport/core/gateway/balance/ServerSelectorTest.kt
@@ -69,7 +69,12 @@
         clock += 20_000.milliseconds
         val before = (1..100).associate { "part-$it" to choose(board, "part-$it")!!.server }
         board.update(board.all.map { it.registered } + Samples.server("late-1") + Samples.server("late-2"))
-        val moved = before.keys.filter { choose(board, it)!!.server.registered.id.value.startsWith("late") }
+        val moved =
+            before.keys.filter {
+                choose(board, it)!!
+                    .server.registered.id.value
+                    .startsWith("late")
+            }
         assertTrue(moved.isNotEmpty())
         moved.forEach { assertEquals(before[it], choose(board, it)!!.fetchFrom, it) }
         clock += 11_000.milliseconds
--- a/tarragonport-core/src/test/kotlin/io/tarragonport/core/gateway/fleet/LoadExchangeTest.kt
+++ b/tarragonport-core/src/test/kotlin/io/tarragonport/core/gateway/fleet/LoadExchangeTest.kt
@@ -65,7 +65,13 @@
             clock += 200.milliseconds
             fleet.round(lost = setOf(VmId("vm-1")))
         }
-        assertEquals(5, fleet.exchanges.getValue(VmId("vm-2")).others()[server]?.inFlight)
+        assertEquals(
+            5,
+            fleet.exchanges
+                .getValue(VmId("vm-2"))
+                .others()[server]
+                ?.inFlight,
+        )
     }
 
     @Test
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ControlPart.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ControlPart.kt
@@ -84,7 +84,8 @@
     private val demand = ServiceDemandMeter(clock)
     private val incarnation = Incarnation(Clock.System.now().toEpochMilliseconds())
     private val view = FleetView(clock)
-    private val record = VmRecordLoop("$RECORDS${settings.vmId}-$incarnation", store, log, { pace.recordInterval }, ::ownRecord)
+    private val record =
+        VmRecordLoop("$RECORDS${settings.vmId}-$incarnation", store, log, { pace.recordInterval }, ::ownRecord)
     private val fleet = FleetLoop(RECORDS, store, store, view, log, { pace.recordInterval }, ::fleetChanged)
     private val peerAddress = "${settings.ip}:${settings.peerPorts.first()}"
     private val peers =
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/DutyLoop.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/DutyLoop.kt
@@ -25,6 +25,7 @@
         if (!fleet.refresh()) return
         usage?.takeIf { it.pending() }?.run()
         scaling?.let { scale(it) }
+        fleet.prune()
     }
 
     private companion object {
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/UsageDuty.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/UsageDuty.kt
@@ -46,7 +46,11 @@
     fun pending(): Boolean = openWindows().isNotEmpty()
 
     /** Reports every closed window that is still in time. */
-    suspend fun run() = openWindows().forEach { report(it) }
+    suspend fun run() {
+        val windows = openWindows()
+        windows.forEach { report(it) }
+        windows.forEach { prune(it - KEPT_WINDOWS) }
+    }
 
     private fun openWindows(): List<Long> {
         val now = clock.now().toEpochMilliseconds()
@@ -71,6 +75,14 @@
             )
     }
 
+    /** Deletes the figure of window [number], which nobody reports any more. */
+    private suspend fun prune(number: Long) {
+        val name = "$FIXED_PREFIX$number"
+        store.get(name).flatMap { found -> found?.let { store.delete(name, it.version) } ?: Unit.right() }.onLeft {
+            log.event(GatewayEvents.PRUNING_FAILED, "object" to name, "error" to it)
+        }
+    }
+
     /** The figure of window [number], which is fixed by the first process that asks. */
     private suspend fun fixed(number: Long): Either<PlatformError, Map<OrganisationId, Long>> {
         val name = "$FIXED_PREFIX$number"
@@ -100,5 +112,8 @@
 
         /** Windows that were reported lately; older ones are not asked for again. */
         const val REMEMBERED = 16
+
+        /** Figures that are kept: three times the windows that end before a report is overdue, on the deployments' sheets. */
+        const val KEPT_WINDOWS = 6L
     }
 }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/GatewayEvents.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/GatewayEvents.kt
@@ -35,6 +35,9 @@
 
     val RECORD_FAILED = LogEvent(3051, "vm_record_failed", "a VM's record could not be written or read")
     val SERVERS_ADOPTED = LogEvent(3052, "servers_adopted", "another VM's list of servers is used; the store is away")
+    val PRUNED =
+        LogEvent(3053, "store_object_pruned", "an object that nobody needs any more was deleted from the store")
+    val PRUNING_FAILED = LogEvent(3054, "store_pruning_failed", "an outdated object could not be deleted; tried again")
 
     /** Every event of the gateway. */
     val ALL =
@@ -68,5 +71,7 @@
             PEERS_CHANGED,
             RECORD_FAILED,
             SERVERS_ADOPTED,
+            PRUNED,
+            PRUNING_FAILED,
         )
 }
--- a/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/GatewayControlTest.kt
+++ b/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/GatewayControlTest.kt
@@ -117,4 +117,20 @@
         val windows = usage().map { it.body.substringAfter("\"window\":").substringBefore(",") }
         assertEquals(windows.size, windows.toSet().size)
     }
+
+    @Test
+    fun `figures of usage windows are deleted when nobody reports them any more`() {
+        fixture.store.configure(FleetSamples.configuration())
+        fixture.server(FleetSamples.PLAIN, "s1", answering)
+        fixture.start()
+        val figures = {
+            fixture.store.state
+                .list("usage-windows")
+                .map { it.name }
+        }
+        fixture.eventually("no figure was fixed") { figures().isNotEmpty() }
+        val first = figures().first()
+        fixture.eventually("the first figure is still there") { first !in figures() }
+        assertTrue(figures().isNotEmpty())
+    }
 }
