--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerSelector.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerSelector.kt
@@ -54,24 +54,26 @@
                     request.shortPrompt -> SHORT_CROSSING_MS
                     else -> LONG_CROSSING_MS
                 }
-            engineScore(state, prompt, now, knownPrompt(state, prompt, preferred, holder), crossing)
+            engineScore(state, prompt, now, knownPrompt(state, request, prompt, preferred, holder), crossing)
         }
     }
 
     /** What [state] need not read of [prompt], where it gets that from, and what it costs. */
     private fun knownPrompt(
         state: ServerState,
+        request: SelectionRequest,
         prompt: PromptShape,
         preferred: ServerState?,
         holder: ServerState?,
     ): KnownPrompt {
         val shared = prompt.sharedParts.sumOf { it.tokens }
         val sentBefore = state.cache.knownTokens(prompt.sharedParts)
+        val elsewhere = request.latencyObjective.toDouble(DurationUnit.MILLISECONDS) * OTHER_ENGINE_SHARE
         val fetches = holder != null && holder !== state && shared - sentBefore >= LEAST_FETCHED_TOKENS
         return when {
             state === preferred -> KnownPrompt(shared, holder.takeIf { fetches }, 0.0)
-            state === holder -> KnownPrompt(shared, null, OTHER_ENGINE_MS)
-            fetches -> KnownPrompt(shared, holder, OTHER_ENGINE_MS + FETCH_MS)
+            state === holder -> KnownPrompt(shared, null, elsewhere)
+            fetches -> KnownPrompt(shared, holder, elsewhere + FETCH_MS)
             else -> KnownPrompt(sentBefore, null, 0.0)
         }
     }
@@ -133,8 +135,11 @@
         /** Network time to another failure domain and back, and a share of the price of the bytes. */
         const val OTHER_DOMAIN_MS = 3.0
 
-        /** What an engine beside the preferred one costs: its copy of the prompt takes the room of another. */
-        const val OTHER_ENGINE_MS = 60.0
+        /**
+         * Part of the latency objective that a request rather waits than go to another engine than the preferred one: the
+         * copy that it needs there takes the room of another prompt.
+         */
+        const val OTHER_ENGINE_SHARE = 0.25
 
         /** Transfer of 13,000 tokens over the engines' links, with a wait for another transfer. */
         const val FETCH_MS = 20.0
@@ -142,10 +147,10 @@
         /** Reading so many tokens takes twice as long as fetching them. */
         const val LEAST_FETCHED_TOKENS = 2_000
 
-        /** A short prompt goes among long ones rather than wait longer than two chunks of reading (72 ms each). */
-        const val SHORT_CROSSING_MS = 150.0
+        /** A short prompt goes among long ones rather than wait longer than three chunks of reading (72 ms each). */
+        const val SHORT_CROSSING_MS = 250.0
 
-        /** A long prompt among short ones delays a dozen streams; it waits for six chunks of reading first. */
-        const val LONG_CROSSING_MS = 450.0
+        /** A long prompt among short ones delays a dozen streams; it waits for most of its latency objective first. */
+        const val LONG_CROSSING_MS = 1_500.0
     }
 }
--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/fleet/FleetPace.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/fleet/FleetPace.kt
@@ -25,11 +25,11 @@
     val gatherChanges: Duration = GATHER_CHANGES * stretch
 
     /** Time between two reports of the own load to other VMs. */
-    val loadInterval: Duration = LOAD_INTERVAL * stretch
+    val loadInterval: Duration = LOAD_INTERVAL
 
     companion object {
-        /** A fifth of the time in which a burst fills the engines' queues (a second, in the heaviest days played). */
-        val LOAD_INTERVAL: Duration = 200.milliseconds
+        /** Half of the time in which a burst fills the engines' queues (a second, in the heaviest days played). */
+        val LOAD_INTERVAL: Duration = 500.milliseconds
 
         /** VMs that can write every [RECORD_INTERVAL] within a twentieth of the smallest deployment's rate of writes. */
         const val SMALL_FLEET = 35
--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/fleet/LoadExchange.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/fleet/LoadExchange.kt
@@ -78,7 +78,7 @@
     }
 
     companion object {
-        /** Three reports of the largest fleet. */
+        /** Three reports. */
         val FRESH_FOR: Duration = 1_500.milliseconds
     }
 }
--- a/tarragonport-core/src/test/kotlin/io/tarragonport/core/gateway/balance/ServerSelectorTest.kt
+++ b/tarragonport-core/src/test/kotlin/io/tarragonport/core/gateway/balance/ServerSelectorTest.kt
@@ -29,7 +29,8 @@
         usable: (ServerState) -> Boolean = { true },
     ): ServerChoice? {
         val prompt = if (short) Samples.prompt(300, 1_000, shared) else Samples.prompt(13_000, 4_000, shared)
-        val request = SelectionRequest(Samples.ENGINES, prompt, short)
+        val request =
+            SelectionRequest(Samples.ENGINES, prompt, short, if (short) 400.milliseconds else 2_000.milliseconds)
         return ServerSelector(board, FailureDomainId(domain)).choose(request, clock.markNow(), usable)
     }
 
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Exchange.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Exchange.kt
@@ -157,7 +157,12 @@
     }
 
     private fun selection() =
-        SelectionRequest(service, request.metadata.prompt, state.prompts.short(service, route.name))
+        SelectionRequest(
+            service,
+            request.metadata.prompt,
+            state.prompts.short(service, route.name),
+            route.latencyObjective,
+        )
 
     private fun send(choice: ServerChoice) {
         val server = choice.server
