--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerSelector.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerSelector.kt
@@ -139,7 +139,7 @@
          * Part of the latency objective that a request rather waits than go to another engine than the preferred one: the
          * copy that it needs there takes the room of another prompt.
          */
-        const val OTHER_ENGINE_SHARE = 0.25
+        const val OTHER_ENGINE_SHARE = 0.12
 
         /** Transfer of 13,000 tokens over the engines' links, with a wait for another transfer. */
         const val FETCH_MS = 20.0
