--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/fleet/FleetPace.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/fleet/FleetPace.kt
@@ -21,16 +21,25 @@
     /** Waiting time of a watch. */
     val watchWait: Duration = WATCH_WAIT * stretch.coerceAtMost(MOST_WATCH_STRETCH)
 
-    /** Pause after changes of the servers, so that changes that come together cost one call. */
-    val gatherChanges: Duration = GATHER_CHANGES * stretch
+    /**
+     * Pause after changes, so that changes that come together cost one call. The VMs that read a change and the servers
+     * that change both grow with the deployment.
+     */
+    val gatherChanges: Duration = GATHER_CHANGES * stretch * stretch
 
     /** Time between two reports of the own load to other VMs. */
-    val loadInterval: Duration = LOAD_INTERVAL
+    val loadInterval: Duration = LOAD_INTERVAL * stretch
+
+    /** Time between two announcements of what is in force to some other VMs. */
+    val announceInterval: Duration = ANNOUNCE_INTERVAL * stretch
 
     companion object {
         /** Half of the time in which a burst fills the engines' queues (a second, in the heaviest days played). */
         val LOAD_INTERVAL: Duration = 500.milliseconds
 
+        /** Several announcements within the time in which a configuration has to be in force. */
+        val ANNOUNCE_INTERVAL: Duration = 500.milliseconds
+
         /** VMs that can write every [RECORD_INTERVAL] within a twentieth of the smallest deployment's rate of writes. */
         const val SMALL_FLEET = 35
 
--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/fleet/LoadExchange.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/fleet/LoadExchange.kt
@@ -5,7 +5,7 @@
 import io.tarragonport.core.gateway.balance.ServerLoad
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 
 /**
@@ -78,7 +78,7 @@
     }
 
     companion object {
-        /** Three reports. */
-        val FRESH_FOR: Duration = 1_500.milliseconds
+        /** Three reports of the largest fleet. */
+        val FRESH_FOR: Duration = 4.seconds
     }
 }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ControlPart.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ControlPart.kt
@@ -97,6 +97,7 @@
             dispatcher,
             configuration,
             servers,
+            interval = { pace.announceInterval },
             received = { from, message -> loads.receive(from, message) },
         )
 
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/GatewayPeers.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/GatewayPeers.kt
@@ -11,7 +11,6 @@
 import kotlinx.coroutines.withContext
 import kotlin.random.Random
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Passes the newest configuration and the list of servers on among the VMs, for those that the store does not answer.
@@ -28,6 +27,7 @@
     private val dispatcher: CoroutineDispatcher,
     private val configuration: ConfigurationFollower,
     private val servers: ServerFollower,
+    private val interval: () -> Duration,
     private val random: Random = Random.Default,
     private val received: (VmId, PeerMessage) -> Unit = { _, _ -> },
 ) {
@@ -46,7 +46,7 @@
     suspend fun announce() {
         while (true) {
             announceOnce()
-            delay(INTERVAL)
+            delay(interval())
         }
     }
 
@@ -97,11 +97,8 @@
         /** Below every version of a configuration. */
         private const val NO_VERSION = -1L
 
-        /** With three, half of a small deployment hears in one interval, and a large one in a few. */
-        const val FANOUT = 3
+        /** With two, a third of a small deployment hears in one interval, and a large one in a few. */
+        const val FANOUT = 2
         private const val MOST_ADDRESSES = 512
-
-        /** Several announcements within the time in which a configuration has to be in force. */
-        val INTERVAL: Duration = 500.milliseconds
     }
 }
--- a/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/GatewayPeersTest.kt
+++ b/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/GatewayPeersTest.kt
@@ -24,6 +24,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertNull
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TestTimeSource
 
 /** A VM that the store does not answer must learn the newest configuration from others and never take an older one. */
@@ -48,6 +49,7 @@
                 Dispatchers.Unconfined,
                 configuration,
                 followed,
+                { 500.milliseconds },
                 Random(number),
             )
 
