--- /dev/null
+++ b/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/RequestHeadersTest.kt
@@ -0,0 +1,40 @@
+package io.tarragonport.standin.fleet
+
+import io.tarragonport.api.gateway.ForwardingMetadata
+import io.tarragonport.api.id.BackendServerId
+import io.tarragonport.api.id.OrganisationId
+import io.tarragonport.wire.RequestHeaders
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.microseconds
+import kotlin.time.Duration.Companion.milliseconds
+
+/** What this system tells a backend server has one spelling, and none of it may come from a caller. */
+class RequestHeadersTest {
+    private val plain =
+        ForwardingMetadata(
+            server = BackendServerId("i-1"),
+            remaining = 1_500.milliseconds,
+            organisation = null,
+            urgency = null,
+            resumeAfter = null,
+        )
+
+    @Test
+    fun `only what is known is sent`() {
+        val required = mapOf("X-Deadline-Ms" to "1500", "X-Expect-Instance" to "i-1")
+        listOf(
+            plain to required,
+            plain.copy(remaining = 10.microseconds) to required + ("X-Deadline-Ms" to "1"),
+            plain.copy(organisation = OrganisationId("o")) to required + ("X-Tenant" to "o"),
+            plain.copy(urgency = 0) to required + ("X-Request-Priority" to "0"),
+            plain.copy(resumeAfter = "17") to required + ("Last-Event-Id" to "17"),
+            plain.copy(fetchFrom = "10.0.0.2:80") to required + ("Kv-Fetch" to "10.0.0.2:80"),
+        ).forEach { (metadata, expected) ->
+            val headers = RequestHeaders.encode(metadata).toMap()
+            assertEquals(expected, headers, "$metadata")
+            assertTrue(headers.keys.all(RequestHeaders::reserved), "$headers")
+        }
+    }
+}
