--- a/tarragonport-standins/src/main/kotlin/io/tarragonport/standin/fleet/StoreFault.kt
+++ b/tarragonport-standins/src/main/kotlin/io/tarragonport/standin/fleet/StoreFault.kt
@@ -9,4 +9,7 @@
 
     /** Writes take effect and their answers are lost. */
     LOST_ANSWERS,
+
+    /** Watches that begin now are never answered, as on a connection that went silent; other calls are. */
+    SILENT_WATCHES,
 }
--- a/tarragonport-standins/src/main/kotlin/io/tarragonport/standin/fleet/StoreStandIn.kt
+++ b/tarragonport-standins/src/main/kotlin/io/tarragonport/standin/fleet/StoreStandIn.kt
@@ -124,6 +124,7 @@
     ) {
         val wait = (call.request.queryParameters["wait_ms"]?.toLong() ?: 0).milliseconds
         val start = TimeSource.Monotonic.markNow()
+        if (fault == StoreFault.SILENT_WATCHES) delay(SILENT_FOR)
         while (true) {
             val changes = state.changes(kind, from) ?: return call.respondText("{}", status = HttpStatusCode.Gone)
             if (fault == StoreFault.BUSY) return call.respondText("busy", status = HttpStatusCode.ServiceUnavailable)
@@ -201,5 +202,8 @@
 
         /** Longer than any client waits for an answer. */
         val LOST_FOR = 5_000.milliseconds
+
+        /** Longer than any watch waits. */
+        val SILENT_FOR = 60_000.milliseconds
     }
 }
