--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerSelector.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerSelector.kt
@@ -12,7 +12,8 @@
  * A model engine's score is the expected time in milliseconds to the first event: unread prompts before this one, the
  * part of its own prompt that the engine has not read, and what running requests cost. All VMs rank engines alike for a
  * shared prompt part, so each part is read by one engine as long as that engine is not busy; another engine fetches it
- * from there ([PromptHolders]). Short and long prompts prefer different engines ([EngineGroups]). A plain server's score is its expected time for the requests that it has.
+ * from there ([PromptHolders]). Short and long prompts prefer different engines ([EngineGroups]). A plain server's score
+ * is its expected time for the requests that it has.
  */
 class ServerSelector(
     private val board: ServerBoard,
--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/fleet/VmRecord.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/fleet/VmRecord.kt
@@ -11,8 +11,8 @@
  * What a VM writes about itself every few seconds.
  *
  * [windows] holds its counts of the newest usage windows, each complete in itself, so that a write that is lost or
- * repeated changes nothing. The next record follows after [nextInMs] milliseconds. [demand] is the load that it sends to each service, [crashes] are requests that it saw in
- * flight when a server broke off, by fingerprint.
+ * repeated changes nothing. [demand] is the load that it sends to each service, [crashes] are requests that it saw in
+ * flight when a server broke off, by fingerprint. The next record follows after [nextInMs] milliseconds.
  */
 @Serializable
 data class VmRecord(
