Rank engines for a prompt in one place

Cause: ServerSelector and PromptHolders each had the same choice of the engine of the highest rank for the last shared part; if one changed alone, engines would fetch prompts from where they are not kept. PromptRank now serves both. Behaviour is unchanged: ServerSelectorTest (13) and LoadExchangeTest (4) green with mvn -pl tarragonport-core -am verify.

--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/PromptHolders.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/PromptHolders.kt
@@ -1,7 +1,6 @@
 package io.tarragonport.core.gateway.balance
 
 import io.tarragonport.api.gateway.PromptShape
-import io.tarragonport.core.routing.RendezvousHash
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -28,11 +27,7 @@
     }
 
     /** The engine that keeps the shared parts of [prompt], null if none is known. */
-    fun holder(prompt: PromptShape): ServerState? {
-        val part = prompt.sharedParts.lastOrNull() ?: return null
-        val key = RendezvousHash.of(part.id)
-        return settled.maxByOrNull { RendezvousHash.weight(key, it.idHash) }
-    }
+    fun holder(prompt: PromptShape): ServerState? = PromptRank.first(prompt, settled)
 
     companion object {
         /** Shared prompts that are in use come back within this time (`retry_after_s` of the deployments' sheets). */
--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerSelector.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerSelector.kt
@@ -2,7 +2,6 @@
 
 import io.tarragonport.api.gateway.PromptShape
 import io.tarragonport.api.id.FailureDomainId
-import io.tarragonport.core.routing.RendezvousHash
 import kotlin.time.ComparableTimeMark
 import kotlin.time.DurationUnit
 
@@ -28,9 +27,7 @@
         val candidates = board.servers(request.service).filter { it.open(now) && usable(it) }
         val prompt = request.prompt?.takeIf { board.engine(request.service) != null }
         val scored =
-            if (prompt ==
-                null
-            ) {
+            if (prompt == null) {
                 candidates.map { plainScore(it, now) }
             } else {
                 engineScores(prompt, request, candidates, now)
@@ -46,7 +43,7 @@
     ): List<ServerChoice> {
         val forShort = board.shortPromptEngines(request.service)
         val inGroup = { state: ServerState -> (state.registered.id in forShort) == request.shortPrompt }
-        val preferred = preferred(prompt, candidates.filter(inGroup).ifEmpty { candidates })
+        val preferred = PromptRank.first(prompt, candidates.filter(inGroup).ifEmpty { candidates })
         val holder = PromptHolders(board.servers(request.service).filter(inGroup), now).holder(prompt)
         return candidates.map { state ->
             val crossing =
@@ -108,15 +105,7 @@
         return ServerChoice(state, (time + distance) * state.health.penalty(now), 0, 0)
     }
 
-    private fun preferred(
-        prompt: PromptShape,
-        candidates: List<ServerState>,
-    ): ServerState? {
-        val part = prompt.sharedParts.lastOrNull() ?: return null
-        val key = RendezvousHash.of(part.id)
-        return candidates.maxByOrNull { RendezvousHash.weight(key, it.idHash) }
-    }
-
+    /** Tokens that an engine need not read, where it fetches them from if it does, and the time to add for that. */
     private class KnownPrompt(
         val tokens: Int,
         val fetchFrom: ServerState?,
