End a peer transport only when its address is free again

The transport ended when its selector was told to close; the selector's own loop closes the listening socket after that, so a restart at once could find the address taken. Ruled out: two test processes on one port (surefire runs one process at a time) and ports the system gives to outgoing connections (TestPorts lie below that range).

--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/peer/SocketPeerTransport.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/peer/SocketPeerTransport.kt
@@ -17,11 +17,14 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.channels.BufferOverflow
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeout
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.IOException
@@ -47,8 +50,22 @@
     private val accepted = ConcurrentHashMap<String, Link>()
     private var scope: CoroutineScope? = null
 
+    /** Ends only when the address is free again: a selector closes its sockets after it has been closed itself. */
     override suspend fun run(receive: suspend (PeerEnvelope) -> Unit) {
-        SelectorManager(Dispatchers.IO).use { selector ->
+        val selectorJob = Job()
+        try {
+            serveWith(SelectorManager(Dispatchers.IO + selectorJob), receive)
+        } finally {
+            selectorJob.complete()
+            withContext(NonCancellable) { selectorJob.join() }
+        }
+    }
+
+    private suspend fun serveWith(
+        manager: SelectorManager,
+        receive: suspend (PeerEnvelope) -> Unit,
+    ) {
+        manager.use { selector ->
             coroutineScope {
                 val (host, port) = split(ownAddress)
                 aSocket(selector).tcp().bind(host, port).use { server ->
--- a/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/peer/SocketPeerTransportTest.kt
+++ b/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/peer/SocketPeerTransportTest.kt
@@ -82,6 +82,20 @@
             listOf(first, restarted).forEach { it.job?.cancelAndJoin() }
         }
 
+    /** Guards against a selector that still holds the listening socket when the transport has ended. */
+    @Test
+    fun `the address is free as soon as the transport has ended`() =
+        onSockets {
+            val peer = Side().start(this)
+            val address = Side().address
+            repeat(RESTARTS) { index ->
+                val side = Side(address).start(this)
+                deliver(peer, side, "restart-$index")
+                side.job?.cancelAndJoin()
+            }
+            peer.job?.cancelAndJoin()
+        }
+
     @Test
     fun `an unreadable frame closes its connection and no other`() =
         onSockets {
@@ -116,6 +130,10 @@
             listOf(sound, target).forEach { it.job?.cancelAndJoin() }
         }
 
+    private companion object {
+        const val RESTARTS = 100
+    }
+
     private fun DataOutputStream.frame(content: ByteArray) {
         writeInt(content.size)
         write(content)
