Let few VMs observe the duties' lease, and ask a store that is away less often

Now five VMs, chosen by rendezvous hashing, observe the lease (LeaseCandidacy, which the daemon had, takes the live VMs from its caller), and the pause between calls of a watch doubles up to 800 ms. Shown: KindWatchTest and LeaseCandidacyTest fail with the old pause and with all VMs as candidates, and pass with the mend. Ruled out: longer waits of the watches (a silent one must be found within the bounds by the watch's own end).

--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/OrderPart.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/OrderPart.kt
@@ -13,6 +13,7 @@
 import io.tarragonport.daemon.lease.LeaseCandidacy
 import io.tarragonport.daemon.lease.LeaseLoop
 import io.tarragonport.daemon.membership.FleetView
+import io.tarragonport.daemon.membership.vmsInRegionOf
 import io.tarragonport.daemon.placement.DemandSource
 import io.tarragonport.daemon.placement.InventoryPoller
 import io.tarragonport.daemon.placement.PlacementLoop
@@ -35,7 +36,7 @@
     private val region = settings.region
     private val domains: List<FailureDomainId> = (settings.failureDomains + settings.failureDomain).distinct()
     private val leaseName = "orders/$region"
-    private val candidacy = LeaseCandidacy(leaseName, vm, fleet)
+    private val candidacy = LeaseCandidacy(leaseName, vm) { fleet.vmsInRegionOf(vm) }
     private val lease =
         LeaseLoop(leaseName, LeaseOwner(vm, incarnation), store, loops.dispatcher, eligible = candidacy::eligible)
 
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/UsagePart.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/UsagePart.kt
@@ -9,6 +9,7 @@
 import io.tarragonport.daemon.lease.LeaseCandidacy
 import io.tarragonport.daemon.lease.LeaseLoop
 import io.tarragonport.daemon.membership.FleetView
+import io.tarragonport.daemon.membership.vmsInRegionOf
 import io.tarragonport.daemon.usage.OrganisationMeter
 import io.tarragonport.daemon.usage.UsageFlusher
 import io.tarragonport.daemon.usage.UsageReporter
@@ -25,7 +26,7 @@
     fleet: FleetView,
     private val loops: ControlLoops,
 ) {
-    private val candidacy = LeaseCandidacy(LEASE, vm, fleet)
+    private val candidacy = LeaseCandidacy(LEASE, vm) { fleet.vmsInRegionOf(vm) }
     private val lease =
         LeaseLoop(LEASE, LeaseOwner(vm, incarnation), store, loops.dispatcher, eligible = candidacy::eligible)
     private val flusher: UsageFlusher
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ControlPart.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ControlPart.kt
@@ -20,6 +20,7 @@
 import io.tarragonport.daemon.gateway.exchange.GatewayEvents
 import io.tarragonport.daemon.gateway.exchange.TrafficState
 import io.tarragonport.daemon.gateway.exchange.UsageSink
+import io.tarragonport.daemon.lease.LeaseCandidacy
 import io.tarragonport.daemon.lease.LeaseLoop
 import io.tarragonport.daemon.peer.SocketPeerTransport
 import io.tarragonport.platform.PlatformHttp
@@ -213,7 +214,8 @@
         clock: TimeSource.WithComparableMarks,
     ): Pair<LeaseLoop, DutyLoop> {
         val owner = LeaseOwner(settings.vmId, incarnation)
-        val lease = LeaseLoop("duties", owner, store, dispatcher, clock, leaseSettings())
+        val candidacy = LeaseCandidacy(DUTIES, settings.vmId, DUTY_CANDIDATES) { view.live().map { it.vm } }
+        val lease = LeaseLoop(DUTIES, owner, store, dispatcher, clock, leaseSettings(), candidacy::eligible)
         val native = NativeDuties(platform)
         val timeout = DUTY_TIMEOUTS.order
         val usage =
@@ -262,6 +264,10 @@
 
     private companion object {
         const val RECORDS = "vms/"
+        const val DUTIES = "duties"
+
+        /** One in 200 chances that the store turns all of them away when it does so to a third of the VMs. */
+        const val DUTY_CANDIDATES = 5
 
         /** Windows that may still be open when a VM writes its record. */
         const val WINDOWS_IN_RECORD = 5L
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/KindWatch.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/KindWatch.kt
@@ -30,6 +30,7 @@
 ) {
     private var position: ObjectVersion? = null
     private var failingSince: ComparableTimeMark? = null
+    private var retryDelay = FIRST_RETRY_DELAY
 
     /** Runs until it is cancelled. */
     suspend fun run() {
@@ -78,21 +79,26 @@
             failingSince = clock.markNow()
             log.event(GatewayEvents.STORE_LOST, "kind" to prefix, "error" to error)
         }
-        delay(RETRY_DELAY)
+        delay(retryDelay)
+        retryDelay = minOf(retryDelay * 2, LONGEST_RETRY_DELAY)
     }
 
     /** How long the store was away until now, null if it was not. */
     private fun regained(): Duration? {
         val since = failingSince ?: return null
         failingSince = null
+        retryDelay = FIRST_RETRY_DELAY
         val outage = since.elapsedNow()
         log.event(GatewayEvents.STORE_REGAINED, "kind" to prefix, "after_ms" to outage.inWholeMilliseconds)
         return outage
     }
 
     companion object {
-        /** Pause after a failed call. */
-        val RETRY_DELAY: Duration = 200.milliseconds
+        /** Pause after the first failed call; it doubles with each further one. */
+        val FIRST_RETRY_DELAY: Duration = 200.milliseconds
+
+        /** Refused calls are paid for as well; what changed is in force within two seconds of the store's return. */
+        val LONGEST_RETRY_DELAY: Duration = 800.milliseconds
 
         /** A watch that was cut for less than this goes on without a new listing. */
         val SHORT_BREAK: Duration = 1.seconds
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/lease/LeaseCandidacy.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/lease/LeaseCandidacy.kt
@@ -2,25 +2,21 @@
 
 import io.tarragonport.api.id.VmId
 import io.tarragonport.core.membership.Rendezvous
-import io.tarragonport.daemon.membership.FleetView
 
 /**
- * Chooses the few VMs that observe a lease, because every observer costs the platform a read every three seconds.
+ * Chooses the few VMs that observe a lease, because every observer costs the platform a read every few seconds.
  *
- * VMs that see different members may choose differently; more observers than needed do no harm.
+ * [live] are the VMs that share the lease, as this one knows them. VMs that see different members may choose differently;
+ * more observers than needed do no harm.
  */
 class LeaseCandidacy(
     private val name: String,
     private val self: VmId,
-    private val fleet: FleetView,
+    private val candidates: Int = CANDIDATES,
+    private val live: () -> Collection<VmId>,
 ) {
-    /** Whether this VM is among the candidates of its region. */
-    fun eligible(): Boolean {
-        val live = fleet.liveVms.value
-        val region = live.find { it.id == self }?.region
-        val candidates = live.filter { it.region == region }.map { it.id }
-        return self in Rendezvous.choose(name, candidates, CANDIDATES)
-    }
+    /** Whether this VM is among the candidates. */
+    fun eligible(): Boolean = self in Rendezvous.choose(name, (live() + self).toSet(), candidates)
 
     companion object {
         /** A holder and two observers. */
