--- a/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/KindWatchTest.kt
+++ b/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/KindWatchTest.kt
@@ -85,12 +85,26 @@
             runTest {
                 val store = AwayStore(this, case.away)
                 val watch =
-                    KindWatch("servers/", store, testScheduler.timeSource, ControlLog { _, _ -> }, Ignoring) { FleetPace(87) }
+                    KindWatch(
+                        "servers/",
+                        store,
+                        testScheduler.timeSource,
+                        ControlLog {
+                            _,
+                            _,
+                            ->
+                        },
+                        Ignoring,
+                    ) { FleetPace(87) }
                 val running = backgroundScope.launch { watch.run() }
                 delay(case.away + 1.seconds)
                 val late = store.servedAt?.let { it - case.away }
                 assertEquals(true, late != null && late <= 1.seconds, "away ${case.away}: found again after $late")
-                assertEquals(true, store.refused <= case.mostRefused, "away ${case.away}: ${store.refused} refused calls")
+                assertEquals(
+                    true,
+                    store.refused <= case.mostRefused,
+                    "away ${case.away}: ${store.refused} refused calls",
+                )
                 running.cancel()
             }
         }
