--- a/tarragonport-standins/src/main/kotlin/io/tarragonport/tool/fault/FaultFleet.kt
+++ b/tarragonport-standins/src/main/kotlin/io/tarragonport/tool/fault/FaultFleet.kt
@@ -86,7 +86,7 @@
         member: ListedVm,
         disabled: String?,
     ): VmProcess {
-        val link = PlatformLink(platformPort)
+        val link = LoopbackLink(platformPort)
         val domains = FaultDocument.DOMAINS.joinToString { "\"$it\"" }
         val text =
             """
@@ -102,7 +102,7 @@
             callerPort = member.callerAddress.substringAfter(':').toInt(),
             link = link,
             settings = settings,
-            log = folder.resolve("${member.id}.log"),
+            output = folder.resolve("${member.id}.log"),
             command = command(disabled),
         )
     }
--- a/tarragonport-standins/src/main/kotlin/io/tarragonport/tool/fault/FaultInjector.kt
+++ b/tarragonport-standins/src/main/kotlin/io/tarragonport/tool/fault/FaultInjector.kt
@@ -42,7 +42,7 @@
 
     private val busy = mutableSetOf<VmProcess>()
 
-    val injected = ConcurrentLinkedQueue<ScheduledFault>()
+    val injected = ConcurrentLinkedQueue<ScheduledFault<FaultKind>>()
     val leaving = ConcurrentLinkedQueue<LeavingSpan>()
     val races = InvariantCount("operators: exactly one of two racing operators wins, the other is told")
     val graceful = InvariantCount("graceful stop: exit status 0 in time")
@@ -52,7 +52,7 @@
 
     suspend fun run(
         scope: CoroutineScope,
-        schedule: List<ScheduledFault>,
+        schedule: List<ScheduledFault<FaultKind>>,
     ) {
         val start = TimeSource.Monotonic.markNow()
         val faults =
@@ -91,7 +91,7 @@
         (fleet.engines + fleet.spares).forEach { it.clearFaults() }
     }
 
-    private suspend fun inject(fault: ScheduledFault) {
+    private suspend fun inject(fault: ScheduledFault<FaultKind>) {
         println("  ${fault.atMs} ms: ${fault.kind} target ${fault.target} for ${fault.durationMs} ms")
         injected += fault
         when (fault.kind) {
@@ -114,7 +114,7 @@
 
     /** Skips the fault if too many VMs are disturbed already. */
     private suspend fun onVm(
-        fault: ScheduledFault,
+        fault: ScheduledFault<FaultKind>,
         action: suspend (VmProcess) -> Unit,
     ) {
         val vm = fleet.vms[fault.target % fleet.vms.size]
@@ -129,7 +129,7 @@
 
     private suspend fun kill(
         vm: VmProcess,
-        fault: ScheduledFault,
+        fault: ScheduledFault<FaultKind>,
     ) {
         val span = vm.disturb(Disturbance.KILLED)
         vm.kill()
@@ -141,7 +141,7 @@
 
     private suspend fun freeze(
         vm: VmProcess,
-        fault: ScheduledFault,
+        fault: ScheduledFault<FaultKind>,
     ) {
         val span = vm.disturb(Disturbance.FROZEN)
         vm.freeze()
@@ -163,7 +163,7 @@
 
     private suspend fun cut(
         vm: VmProcess,
-        fault: ScheduledFault,
+        fault: ScheduledFault<FaultKind>,
     ) {
         val span = vm.disturb(Disturbance.CUT)
         vm.link.cut = true
@@ -172,7 +172,7 @@
         span.finish()
     }
 
-    private suspend fun delayLink(fault: ScheduledFault) {
+    private suspend fun delayLink(fault: ScheduledFault<FaultKind>) {
         val link = fleet.vms[fault.target % fleet.vms.size].link
         link.delayMs = LINK_DELAY_MS
         delay(fault.durationMs)
@@ -180,7 +180,7 @@
     }
 
     private suspend fun platform(
-        fault: ScheduledFault,
+        fault: ScheduledFault<FaultKind>,
         faults: Faults,
     ) {
         PlatformInterface.entries.forEach { fleet.platform.faults[it] = faults }
@@ -188,10 +188,10 @@
         PlatformInterface.entries.forEach { fleet.platform.faults[it] = Faults() }
     }
 
-    private fun engine(fault: ScheduledFault): EngineSlot = fleet.engines[fault.target % fleet.engines.size]
+    private fun engine(fault: ScheduledFault<FaultKind>): EngineSlot = fleet.engines[fault.target % fleet.engines.size]
 
     private suspend fun spoil(
-        fault: ScheduledFault,
+        fault: ScheduledFault<FaultKind>,
         faults: EngineFaults,
     ) {
         engine(fault).setFaults(faults)
@@ -199,7 +199,7 @@
         engine(fault).clearFaults()
     }
 
-    private fun spoiledStreams(fault: ScheduledFault): EngineFaults {
+    private fun spoiledStreams(fault: ScheduledFault<FaultKind>): EngineFaults {
         val position = SPOILED_TOKEN
         return when (fault.target % SPOILING_KINDS) {
             0 -> EngineFaults(wrongIdAtToken = position, remaining = SPOILED_STREAMS)
@@ -210,7 +210,7 @@
         }
     }
 
-    private suspend fun dropAnswers(fault: ScheduledFault) {
+    private suspend fun dropAnswers(fault: ScheduledFault<FaultKind>) {
         val before = fault.target % 2 == 0
         fleet.ledger.faults = ServiceFaults(dropBefore = before, dropAfter = !before, remaining = DROPPED_CALLS)
         delay(fault.durationMs)
@@ -218,7 +218,7 @@
     }
 
     /** Repeated while the platform is away, because nobody can win then. */
-    private suspend fun race(fault: ScheduledFault) {
+    private suspend fun race(fault: ScheduledFault<FaultKind>) {
         repeat(RACE_ATTEMPTS) {
             val outcomes =
                 coroutineScope {
@@ -234,7 +234,7 @@
         }
     }
 
-    private suspend fun reclaim(fault: ScheduledFault) {
+    private suspend fun reclaim(fault: ScheduledFault<FaultKind>) {
         val domain = FaultDocument.DOMAINS[fault.target % FaultDocument.DOMAINS.size]
         val spare = fleet.cheapSpare(domain)
         fleet.platform.backend.reclaim(ReclaimRequest(FailureDomainId(domain), NOTICE_MS))
--- a/tarragonport-standins/src/main/kotlin/io/tarragonport/tool/fault/FaultRunMain.kt
+++ b/tarragonport-standins/src/main/kotlin/io/tarragonport/tool/fault/FaultRunMain.kt
@@ -64,7 +64,7 @@
         balancer.next()
         val callers = traffic.start(scope)
         val probing = scope.launch { probe.run(scope) }
-        injector.run(scope, FaultSchedule.draw(seed, seconds))
+        injector.run(scope, FaultSchedule.draw(FaultKind.entries, seed, seconds))
         injector.heal()
         delay(HEAL_DELAY)
         // Daemons without a mechanism have no graceful stop either.
--- a/tarragonport-standins/src/main/kotlin/io/tarragonport/tool/fault/FaultSchedule.kt
+++ b/tarragonport-standins/src/main/kotlin/io/tarragonport/tool/fault/FaultSchedule.kt
@@ -6,9 +6,9 @@
  * One fault at [atMs] after the start; [target] and [durationMs] are chosen in advance, so that a seed gives the same
  * schedule.
  */
-data class ScheduledFault(
+data class ScheduledFault<Kind>(
     val atMs: Long,
-    val kind: FaultKind,
+    val kind: Kind,
     val target: Int,
     val durationMs: Long,
 )
@@ -22,16 +22,17 @@
     private const val LONGEST_FAULT_MS = 14_000L
     private const val TARGETS = 1_000
 
-    fun draw(
+    fun <Kind> draw(
+        kinds: List<Kind>,
         seed: Long,
         seconds: Int,
-    ): List<ScheduledFault> {
+    ): List<ScheduledFault<Kind>> {
         val random = Random(seed)
-        val first = ArrayDeque(FaultKind.entries.shuffled(random))
-        val faults = mutableListOf<ScheduledFault>()
+        val first = ArrayDeque(kinds.shuffled(random))
+        val faults = mutableListOf<ScheduledFault<Kind>>()
         var at = START_MS
         while (at < seconds * 1_000L) {
-            val kind = first.removeFirstOrNull() ?: FaultKind.entries[random.nextInt(FaultKind.entries.size)]
+            val kind = first.removeFirstOrNull() ?: kinds[random.nextInt(kinds.size)]
             val duration = random.nextLong(SHORTEST_FAULT_MS, LONGEST_FAULT_MS)
             faults += ScheduledFault(at, kind, random.nextInt(TARGETS), duration)
             at += random.nextLong(SHORTEST_GAP_MS, LONGEST_GAP_MS)
--- a/tarragonport-standins/src/main/kotlin/io/tarragonport/tool/fault/PlatformLink.kt
+++ b/tarragonport-standins/src/main/kotlin/io/tarragonport/tool/fault/LoopbackLink.kt
@@ -7,8 +7,8 @@
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.concurrent.thread
 
-/** A TCP relay between one VM and the platform that can be cut or delayed. */
-class PlatformLink(
+/** A TCP relay on 127.0.0.1 that can be cut, silenced in one direction or both, delayed, and whose connections can be reset. */
+class LoopbackLink(
     private val targetPort: Int,
 ) : AutoCloseable {
     private val server = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
@@ -19,11 +19,17 @@
     var cut = false
         set(value) {
             field = value
-            if (value) {
-                sockets.forEach { it.closeQuietly() }
-            }
+            if (value) reset()
         }
 
+    /** While true, what the accepting side sends is taken and not passed on. */
+    @Volatile
+    var answersSilent = false
+
+    /** While true, what the connecting side sends is taken and not passed on. */
+    @Volatile
+    var requestsSilent = false
+
     /** Waited before each piece of data is passed on. */
     @Volatile
     var delayMs = 0L
@@ -34,9 +40,12 @@
         thread(isDaemon = true, name = "link-$port") { accept() }
     }
 
+    /** Resets all open connections; new ones are passed on. */
+    fun reset() = sockets.forEach { it.resetQuietly() }
+
     override fun close() {
         server.close()
-        sockets.forEach { it.closeQuietly() }
+        reset()
     }
 
     private fun accept() {
@@ -59,13 +68,14 @@
                 return
             }
         sockets += listOf(near, far)
-        thread(isDaemon = true) { pump(near, far) }
-        thread(isDaemon = true) { pump(far, near) }
+        thread(isDaemon = true) { pump(near, far) { requestsSilent } }
+        thread(isDaemon = true) { pump(far, near) { answersSilent } }
     }
 
     private fun pump(
         from: Socket,
         to: Socket,
+        silent: () -> Boolean,
     ) {
         val buffer = ByteArray(BUFFER_BYTES)
         try {
@@ -73,7 +83,7 @@
                 val count = from.getInputStream().read(buffer)
                 if (count < 0) break
                 if (delayMs > 0) Thread.sleep(delayMs)
-                to.getOutputStream().write(buffer, 0, count)
+                if (!silent()) to.getOutputStream().write(buffer, 0, count)
             }
         } catch (_: IOException) {
             // Either side closed the connection.
@@ -82,6 +92,16 @@
         sockets -= setOf(from, to)
     }
 
+    /** Closes with a reset in place of an orderly end. */
+    private fun Socket.resetQuietly() {
+        try {
+            setSoLinger(true, 0)
+        } catch (_: IOException) {
+            // Closed in the meantime: there is nothing to reset.
+        }
+        closeQuietly()
+    }
+
     private fun Socket.closeQuietly() =
         try {
             close()
--- a/tarragonport-standins/src/main/kotlin/io/tarragonport/tool/fault/VmProcess.kt
+++ b/tarragonport-standins/src/main/kotlin/io/tarragonport/tool/fault/VmProcess.kt
@@ -3,7 +3,6 @@
 import java.io.File
 import java.util.concurrent.TimeUnit
 import kotlin.time.ComparableTimeMark
-import kotlin.time.TimeSource
 
 /**
  * One daemon process of the fault run.
@@ -14,14 +13,16 @@
 class VmProcess(
     val id: String,
     val callerPort: Int,
-    val link: PlatformLink,
+    val link: LoopbackLink,
     private val settings: File,
-    private val log: File,
+    private val output: File,
     private val command: List<String>,
 ) {
     private var process: Process? = null
 
-    val disturbances = mutableListOf<Disturbance>()
+    private val log = DisturbanceLog()
+
+    val disturbances: List<Disturbance> get() = log.all
     val address: String get() = "127.0.0.1:$callerPort"
     val alive: Boolean get() = process?.isAlive == true
 
@@ -29,7 +30,7 @@
         process =
             ProcessBuilder(command + listOf("--settings", settings.path))
                 .redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.appendTo(log))
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(output))
                 .start()
     }
 
@@ -49,18 +50,17 @@
 
     fun resume() = signal("-CONT")
 
+    /** Tells the process that its settings have changed. */
+    fun hangUp() = signal("-HUP")
+
     /** Notes that the VM is disturbed from now until the returned span is ended. */
-    fun disturb(kind: String): Disturbance =
-        synchronized(disturbances) { Disturbance(kind, TimeSource.Monotonic.markNow()).also { disturbances += it } }
+    fun disturb(kind: String): Disturbance = log.begin(kind)
 
-    /** True if a disturbance of one of [kinds] overlaps the span from [from] to now. */
+    /** True if a disturbance of one of [kinds], or of any kind if it is null, overlaps the span from [from] to now. */
     fun disturbedSince(
         from: ComparableTimeMark,
-        kinds: Set<String>,
-    ): Boolean =
-        synchronized(disturbances) {
-            disturbances.any { it.kind in kinds && (it.end == null || it.end!! >= from) }
-        }
+        kinds: Set<String>? = null,
+    ): Boolean = log.anySince(from, kinds)
 
     private fun signal(name: String) {
         val running = process ?: return
