--- a/tarragonport-standins/src/main/kotlin/io/tarragonport/tool/soak/RunLedger.kt
+++ b/tarragonport-standins/src/main/kotlin/io/tarragonport/tool/soak/RunLedger.kt
@@ -81,38 +81,44 @@
         request: SoakRequest,
         server: SoakServer,
     ) {
-        val calm = { since: ComparableTimeMark ->
-            !store.anySince(since - CALM_BEFORE) && !request.vm.disturbedSince(since - CALM_BEFORE)
-        }
-        request.key?.revokedAt?.let { revokedAt ->
-            val old = request.sentAt - revokedAt > CONFIGURATION_TIME
-            if (old && calm(revokedAt)) {
-                invariants.revoked.observe(
-                    false,
-                ) { "${request.id} ran ${request.sentAt - revokedAt} after the revocation" }
-            }
+        checkWithdrawn(request)
+        checkLeaving(request, server)
+        checkGone(request)
+    }
+
+    private fun checkWithdrawn(request: SoakRequest) {
+        val since = request.key?.revokedAt ?: return
+        val age = request.sentAt - since
+        if (age > CONFIGURATION_TIME && calmSince(since, request)) {
+            invariants.revoked.observe(false) { "${request.id} ran with a key withdrawn $age before" }
         }
-        server.leavingSince?.let { since ->
-            val late = since.elapsedNow() > DRAIN_TIME && request.sentAt - since > Duration.ZERO
-            if (calm(
-                    since,
-                )
-            ) {
-                invariants.leaving.observe(
-                    !late,
-                ) { "${request.id} reached ${server.id} ${since.elapsedNow()} late" }
-            }
+    }
+
+    private fun checkLeaving(
+        request: SoakRequest,
+        server: SoakServer,
+    ) {
+        val since = server.leavingSince ?: return
+        val late = since.elapsedNow()
+        if (late > DRAIN_TIME && calmSince(since, request)) {
+            invariants.leaving.observe(false) { "${request.id} reached ${server.id} $late after it began to leave" }
         }
-        request.leftAt?.let { left ->
-            val undisturbed = !request.vm.disturbedSince(left - CALM_BEFORE)
-            if (undisturbed) {
-                invariants.gone.observe(left.elapsedNow() <= GONE_TIME) {
-                    "${request.id} began ${left.elapsedNow()} after its caller left"
-                }
-            }
+    }
+
+    private fun checkGone(request: SoakRequest) {
+        val since = request.leftAt ?: return
+        val late = since.elapsedNow()
+        if (late > GONE_TIME && !request.vm.disturbedSince(since - CALM_BEFORE)) {
+            invariants.gone.observe(false) { "${request.id} began $late after its caller left" }
         }
     }
 
+    /** Bounds in time hold only while the store and the request's VM are undisturbed. */
+    private fun calmSince(
+        since: ComparableTimeMark,
+        request: SoakRequest,
+    ): Boolean = !store.anySince(since - CALM_BEFORE) && !request.vm.disturbedSince(since - CALM_BEFORE)
+
     companion object {
         /** Bound of the deployments' sheets for a withdrawn key, which is a change of the configuration. */
         val CONFIGURATION_TIME: Duration = 2.seconds
--- a/tarragonport-standins/src/main/kotlin/io/tarragonport/tool/soak/SoakInjector.kt
+++ b/tarragonport-standins/src/main/kotlin/io/tarragonport/tool/soak/SoakInjector.kt
@@ -33,53 +33,24 @@
             SoakFault.FREEZE_VM -> onVm(fault) { freeze(it, fault.durationMs) }
             SoakFault.STOP_VM -> onVm(fault, ::stop)
             SoakFault.HANG_UP_VM -> onVm(fault) { it.hangUp() }
-            SoakFault.KILL_ALL_VMS ->
-                fleet.vms
-                    .filter { claim(it) }
-                    .map { vm ->
-                        thread { claimed(vm) { kill(it, 0) } }
-                    }.forEach { it.join() }
-            SoakFault.CUT_STORE -> onLink(fault, { it.cut = true }, { it.cut = false })
-            SoakFault.SILENT_STORE ->
-                onLink(fault, { it.requestsSilent = true }, {
-                    it.requestsSilent = false
-                    it.reset()
-                })
-            SoakFault.ONE_WAY_STORE ->
-                onLink(fault, { it.answersSilent = true }, {
-                    it.answersSilent = false
-                    it.reset()
-                })
-            SoakFault.SLOW_STORE -> onLink(fault, { it.delayMs = SLOW_MS }, { it.delayMs = 0 })
-            SoakFault.RESET_STORE_CONNECTIONS -> onLink(fault, { it.reset() }, { })
+            SoakFault.KILL_ALL_VMS -> killAll()
+            SoakFault.CUT_STORE -> onStoreLink(fault, LinkFault.CUT)
+            SoakFault.SILENT_STORE -> onStoreLink(fault, LinkFault.SILENT)
+            SoakFault.ONE_WAY_STORE -> onStoreLink(fault, LinkFault.ONE_WAY)
+            SoakFault.SLOW_STORE -> onStoreLink(fault, LinkFault.SLOW)
+            SoakFault.RESET_STORE_CONNECTIONS -> onStoreLink(fault, LinkFault.RESET)
             SoakFault.BUSY_STORE -> onStore(fault, StoreFault.BUSY)
             SoakFault.LOST_STORE_ANSWERS -> onStore(fault, StoreFault.LOST_ANSWERS)
             SoakFault.SILENT_WATCHES -> onStore(fault, StoreFault.SILENT_WATCHES)
             SoakFault.COMPACT_STORE -> fleet.store.state.compact()
             SoakFault.CRASH_SERVER -> crash(fault)
             SoakFault.DRAIN_SERVER -> drain(fault)
-            SoakFault.CUT_SERVER -> onServer(fault, { it.link.cut = true }, { it.link.cut = false })
-            SoakFault.SILENT_SERVER ->
-                onServer(fault, { it.link.requestsSilent = true }, {
-                    it.link.requestsSilent =
-                        false
-                    ; it.resetLink()
-                })
-            SoakFault.ONE_WAY_SERVER ->
-                onServer(fault, { it.link.answersSilent = true }, {
-                    it.link.answersSilent =
-                        false
-                    ; it.resetLink()
-                })
-            SoakFault.SLOW_SERVER -> onServer(fault, { it.link.delayMs = SLOW_MS }, { it.link.delayMs = 0 })
-            SoakFault.RESET_SERVER_CONNECTIONS -> server(fault)?.resetLink()
-            SoakFault.SPOIL_ANSWERS ->
-                onServer(
-                    fault,
-                    { it.spoils = SPOILT_SHARE },
-                    { it.spoils = 0.0 },
-                    faultyLink = false,
-                )
+            SoakFault.CUT_SERVER -> onServerLink(fault, LinkFault.CUT)
+            SoakFault.SILENT_SERVER -> onServerLink(fault, LinkFault.SILENT)
+            SoakFault.ONE_WAY_SERVER -> onServerLink(fault, LinkFault.ONE_WAY)
+            SoakFault.SLOW_SERVER -> onServerLink(fault, LinkFault.SLOW)
+            SoakFault.RESET_SERVER_CONNECTIONS -> onServerLink(fault, LinkFault.RESET)
+            SoakFault.SPOIL_ANSWERS -> spoilAnswers(fault)
             SoakFault.REPLACE_KEY -> synchronized(fleet.keys) { fleet.keys.replaceOldest() }
             SoakFault.CONFIGURATION_STORM -> synchronized(fleet.keys) { fleet.keys.storm() }
         }
@@ -108,6 +79,12 @@
         }
     }
 
+    private fun killAll() =
+        fleet.vms
+            .filter { claim(it) }
+            .map { vm -> thread { claimed(vm) { kill(it, downMs = 0) } } }
+            .forEach { it.join() }
+
     private fun kill(
         vm: VmProcess,
         downMs: Long,
@@ -146,16 +123,15 @@
         fleet.awaitReady(vm)
     }
 
-    private fun onLink(
+    private fun onStoreLink(
         fault: ScheduledFault<SoakFault>,
-        begin: (io.tarragonport.tool.fault.LoopbackLink) -> Unit,
-        end: (io.tarragonport.tool.fault.LoopbackLink) -> Unit,
+        kind: LinkFault,
     ) {
         val vm = fleet.vms[fault.target % fleet.vms.size]
         val span = vm.disturb(Disturbance.CUT)
-        begin(vm.link)
+        kind.begin(vm.link)
         Thread.sleep(fault.durationMs)
-        end(vm.link)
+        kind.end(vm.link)
         span.finish()
     }
 
@@ -177,18 +153,23 @@
         return sound.getOrNull(fault.target % sound.size.coerceAtLeast(1))
     }
 
-    private fun onServer(
+    private fun onServerLink(
         fault: ScheduledFault<SoakFault>,
-        begin: (SoakServer) -> Unit,
-        end: (SoakServer) -> Unit,
-        faultyLink: Boolean = true,
+        kind: LinkFault,
     ) {
         val server = server(fault) ?: return
-        if (faultyLink) server.linkFaulty = true
-        begin(server)
+        server.linkFaulty = true
+        kind.begin(server.link)
+        Thread.sleep(fault.durationMs)
+        kind.end(server.link)
+        server.linkFaulty = false
+    }
+
+    private fun spoilAnswers(fault: ScheduledFault<SoakFault>) {
+        val server = server(fault) ?: return
+        server.spoils = SPOILT_SHARE
         Thread.sleep(fault.durationMs)
-        end(server)
-        if (faultyLink) server.linkFaulty = false
+        server.spoils = 0.0
     }
 
     /** The server ends at once; its entry goes three heartbeats later and another server comes. */
@@ -218,8 +199,6 @@
         /** A killed VM is down for this part of the fault's time; a restart takes seconds anyway. */
         const val VM_DOWN_SHARE = 4
 
-        /** A slow store or server: two hundred times the usual time of a call. */
-        const val SLOW_MS = 300L
         const val SPOILT_SHARE = 0.3
 
         /** Three heartbeats of 1.2 s. */
--- a/tarragonport-standins/src/main/kotlin/io/tarragonport/tool/soak/SoakServer.kt
+++ b/tarragonport-standins/src/main/kotlin/io/tarragonport/tool/soak/SoakServer.kt
@@ -9,6 +9,7 @@
 import io.tarragonport.tool.fault.LoopbackLink
 import io.tarragonport.wire.WireHeaders
 import java.net.Socket
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.random.Random
 import kotlin.time.ComparableTimeMark
@@ -54,12 +55,6 @@
         state: String = "ready",
     ) = store.register(id, FleetSamples.entry(service, "127.0.0.1:${link.port}", state))
 
-    /** Resets the link's connections; what runs on them is spoiled. */
-    fun resetLink() {
-        inProgress.forEach { it.spoiled = true }
-        link.reset()
-    }
-
     override fun close() {
         inProgress.forEach { it.spoiled = true }
         link.close()
