Compare all engines for a request without allocation

Cause: for each request ServerSelector built three filtered lists, a choice for each of 74 engines and, for each, a copy of its registration as the key of its connections. Change: one scored pass over the candidates, the group of an engine is kept with it, connections are found by the tracked server. The choices are the same (ServerSelectorTest unchanged).

--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/PromptRank.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/PromptRank.kt
@@ -5,13 +5,25 @@
 
 /** Ranks engines for the shared parts of a prompt, identically on all VMs. */
 internal object PromptRank {
-    /** The highest-ranked engine for [prompt], null if the prompt has no shared part or there is no engine. */
-    fun first(
-        prompt: PromptShape,
+    /** The key by which engines are ranked for [prompt], null if the prompt has no shared part. */
+    fun key(prompt: PromptShape): Long? = prompt.sharedParts.lastOrNull()?.let { RendezvousHash.of(it.id) }
+
+    /** The highest-ranked of those [engines] that [accepted] accepts, null if there is none. */
+    inline fun first(
+        key: Long,
         engines: List<TrackedServer>,
+        accepted: (TrackedServer) -> Boolean,
     ): TrackedServer? {
-        val part = prompt.sharedParts.lastOrNull() ?: return null
-        val key = RendezvousHash.of(part.id)
-        return engines.maxByOrNull { RendezvousHash.weight(key, it.idHash) }
+        var best: TrackedServer? = null
+        var bestWeight = Long.MIN_VALUE
+        for (engine in engines) {
+            if (!accepted(engine)) continue
+            val weight = RendezvousHash.weight(key, engine.idHash)
+            if (best == null || weight > bestWeight) {
+                best = engine
+                bestWeight = weight
+            }
+        }
+        return best
     }
 }
--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerHealthEstimate.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerHealthEstimate.kt
@@ -34,6 +34,10 @@
     fun penalty(now: ComparableTimeMark): Double = 1 + FAILURE_WEIGHT * decayed(now)
 
     private fun decayed(now: ComparableTimeMark): Double {
+        if (failures == 0.0) {
+            decayedAt = now
+            return 0.0
+        }
         val elapsed = decayedAt?.let { now - it } ?: Duration.ZERO
         decayedAt = now
         failures *= exp(-elapsed.toDouble(DurationUnit.SECONDS) / FAILURE_DECAY_TIME.toDouble(DurationUnit.SECONDS))
--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerSelector.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerSelector.kt
@@ -24,74 +24,69 @@
         now: ComparableTimeMark,
         usable: (TrackedServer) -> Boolean,
     ): ServerChoice? {
-        val candidates = serverTable.servers(request.service).filter { it.open(now) && usable(it) }
+        val servers = serverTable.servers(request.service)
+        val candidates = servers.filter { it.open(now) && usable(it) }
         val prompt = request.prompt?.takeIf { serverTable.engineLimits(request.service) != null }
-        val scored =
-            if (prompt == null) {
-                candidates.map { plainScore(it, now) }
-            } else {
-                engineScores(prompt, request, candidates, now)
-            }
-        return scored.minByOrNull { it.score }?.copy(candidates = candidates.size)
+        return if (prompt == null) choosePlain(candidates, now) else chooseEngine(prompt, request, candidates, now)
     }
 
-    private fun engineScores(
-        prompt: PromptShape,
-        request: SelectionRequest,
+    private fun choosePlain(
         candidates: List<TrackedServer>,
         now: ComparableTimeMark,
-    ): List<ServerChoice> {
-        val shortPromptEngines = serverTable.shortPromptEngines(request.service)
-        val inGroup = { server: TrackedServer -> (server.registered.id in shortPromptEngines) == request.shortPrompt }
-        val preferred = PromptRank.first(prompt, candidates.filter(inGroup).ifEmpty { candidates })
-        val holder = PromptHolders(serverTable.servers(request.service).filter(inGroup), now).holder(prompt)
-        return candidates.map { server ->
-            val groupPenaltyMs =
-                when {
-                    shortPromptEngines.isEmpty() || inGroup(server) -> 0.0
-                    request.shortPrompt -> SHORT_GROUP_PENALTY_MS
-                    else -> LONG_GROUP_PENALTY_MS
-                }
-            engineScore(server, prompt, now, cachedPrompt(server, request, prompt, preferred, holder), groupPenaltyMs)
+    ): ServerChoice? {
+        var best: TrackedServer? = null
+        var bestScore = 0.0
+        for (server in candidates) {
+            val score = plainScore(server, now)
+            if (best == null || score < bestScore) {
+                best = server
+                bestScore = score
+            }
         }
+        return best?.let { ServerChoice(it, bestScore, 0, candidates.size) }
     }
 
-    /**
-     * What [server] has cached or can fetch of [prompt], and the penalty for using an engine that is not [preferred].
-     */
-    private fun cachedPrompt(
-        server: TrackedServer,
-        request: SelectionRequest,
+    private fun chooseEngine(
         prompt: PromptShape,
-        preferred: TrackedServer?,
-        holder: TrackedServer?,
-    ): CachedPrompt {
-        val shared = prompt.sharedParts.sumOf { it.tokens }
-        val alreadyCached = server.cache.cachedTokens(prompt.sharedParts)
-        val otherEnginePenaltyMs =
-            request.latencyObjective.toDouble(DurationUnit.MILLISECONDS) * OTHER_ENGINE_PENALTY_SHARE
-        val shouldFetch = holder != null && holder !== server && shared - alreadyCached >= MIN_FETCHED_TOKENS
-        return when {
-            server === preferred -> CachedPrompt(shared, holder.takeIf { shouldFetch }, 0.0)
-            server === holder -> CachedPrompt(shared, null, otherEnginePenaltyMs)
-            shouldFetch -> CachedPrompt(shared, holder, otherEnginePenaltyMs + FETCH_MS)
-            else -> CachedPrompt(alreadyCached, null, 0.0)
+        request: SelectionRequest,
+        candidates: List<TrackedServer>,
+        now: ComparableTimeMark,
+    ): ServerChoice? {
+        val servers = serverTable.servers(request.service)
+        val grouped = serverTable.hasShortPromptEngines(request.service)
+        val key = PromptRank.key(prompt)
+        val preferred =
+            key?.let { rank ->
+                PromptRank.first(rank, candidates) { it.forShortPrompts == request.shortPrompt }
+                    ?: PromptRank.first(rank, candidates) { true }
+            }
+        val holder = key?.let { PromptHolders.holder(it, servers, request.shortPrompt, now) }
+        val plan = PromptPlan(prompt, request, preferred, holder, grouped)
+        var best: TrackedServer? = null
+        var bestScore = 0.0
+        for (server in candidates) {
+            val score = engineScore(server, plan, now)
+            if (best == null || score < bestScore) {
+                best = server
+                bestScore = score
+            }
+        }
+        return best?.let {
+            ServerChoice(it, bestScore, plan.tokensToProcess(it), candidates.size, plan.fetchFrom(it))
         }
     }
 
     private fun engineScore(
         server: TrackedServer,
-        prompt: PromptShape,
+        plan: PromptPlan,
         now: ComparableTimeMark,
-        cached: CachedPrompt,
-        groupPenaltyMs: Double,
-    ): ServerChoice {
-        val tokensToProcess = (prompt.promptTokens - cached.tokens).coerceAtLeast(0)
-        val processingMs = (server.totalUnprocessedTokens + tokensToProcess) / TOKENS_PROCESSED_PER_MS
+    ): Double {
+        val processingMs =
+            (server.totalUnprocessedTokens + plan.tokensToProcess(server)) / TOKENS_PROCESSED_PER_MS
         val runningMs = server.totalInFlight * RUNNING_COST_MS + queued(server) * QUEUED_COST_MS
         val domainPenaltyMs = if (server.registered.domain == domain) 0.0 else CROSS_DOMAIN_MS
-        val timeMs = processingMs + runningMs + domainPenaltyMs + groupPenaltyMs + cached.costMs
-        return ServerChoice(server, timeMs * server.health.penalty(now), tokensToProcess, 0, cached.fetchFrom)
+        val timeMs = processingMs + runningMs + domainPenaltyMs + plan.penaltyMs(server)
+        return timeMs * server.health.penalty(now)
     }
 
     /** Requests that exceed the slots of the engine's batch, including this one. */
@@ -101,20 +96,13 @@
     private fun plainScore(
         server: TrackedServer,
         now: ComparableTimeMark,
-    ): ServerChoice {
+    ): Double {
         val relativeLoad = (server.totalInFlight + 1.0) / server.registered.slots.coerceAtLeast(1)
         val domainPenaltyMs = if (server.registered.domain == domain) 0.0 else CROSS_DOMAIN_MS
         val timeMs = server.health.responseTime.toDouble(DurationUnit.MILLISECONDS) * (1 + relativeLoad)
-        return ServerChoice(server, (timeMs + domainPenaltyMs) * server.health.penalty(now), 0, 0)
+        return (timeMs + domainPenaltyMs) * server.health.penalty(now)
     }
 
-    /** Prompt tokens that an engine need not process, the engine to fetch them from if any, and the cost in score. */
-    private class CachedPrompt(
-        val tokens: Int,
-        val fetchFrom: TrackedServer?,
-        val costMs: Double,
-    )
-
     private companion object {
         /** Prompt tokens that an engine processes in a millisecond (48 to 57 in the deployment data). */
         const val TOKENS_PROCESSED_PER_MS = 50.0
@@ -127,23 +115,5 @@
 
         /** Network round trip to another failure domain, and a surcharge for the price of the traffic. */
         const val CROSS_DOMAIN_MS = 3.0
-
-        /**
-         * Share of the latency objective for which a request waits rather than use an engine other than the preferred
-         * one, because the copy of the prompt there displaces another prompt from the cache.
-         */
-        const val OTHER_ENGINE_PENALTY_SHARE = 0.12
-
-        /** Transfer of 13,000 tokens between engines, including the wait for a concurrent transfer. */
-        const val FETCH_MS = 20.0
-
-        /** Processing this many tokens takes twice as long as fetching them. */
-        const val MIN_FETCHED_TOKENS = 2_000
-
-        /** A short prompt moves to the long group rather than wait for more than three prompt chunks (72 ms each). */
-        const val SHORT_GROUP_PENALTY_MS = 250.0
-
-        /** A long prompt in the short group delays a dozen streams, so it waits for most of its latency objective. */
-        const val LONG_GROUP_PENALTY_MS = 1_500.0
     }
 }
--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerTable.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerTable.kt
@@ -33,6 +33,9 @@
     /** Engines of [service] that are reserved for short prompts. */
     fun shortPromptEngines(service: ServiceId): Set<BackendServerId> = shortPromptIds[service].orEmpty()
 
+    /** Whether some engines of [service] are reserved for short prompts. */
+    fun hasShortPromptEngines(service: ServiceId): Boolean = shortPromptEngines(service).isNotEmpty()
+
     /** Applies the services of a new configuration. */
     fun configure(services: Collection<GatewayService>) {
         engineLimits = services.mapNotNull { service -> service.engine?.let { service.id to it } }.toMap()
@@ -70,6 +73,10 @@
             byService
                 .filterKeys { it in engineLimits }
                 .mapValues { (_, group) -> EngineGroups.shortPromptEngines(group.filter { !it.registered.leaving }) }
+        trackedServers.values.forEach {
+            it.forShortPrompts =
+                it.registered.id in shortPromptEngines(it.registered.service)
+        }
     }
 
     private fun ended(
--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/TrackedServer.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/TrackedServer.kt
@@ -17,6 +17,10 @@
     /** Hash of the server's id for rendezvous hashing. */
     val idHash: Long = RendezvousHash.of(registered.id.value)
 
+    /** Whether the server is reserved for short prompts; see [EngineGroups]. */
+    var forShortPrompts = false
+        internal set
+
     /** Requests of this VM in flight at the server. */
     var inFlight = 0
         private set
