Believe only what a backend server states about this request, and limit its bytes

Cause, each seen in GatewayFaultyServersTest before the change: a refusal without the id of the request, such as an earlier one written once more on a kept connection, was answered as 503 'not run' (expected 502); line ends before a status line were read until the deadline (504 instead of 502). Found while reading: a request was dispatched twice if a failure of its own send led back to the queue (RequestQueueTest). Change: a response without the id of the request fails the attempt as possibly executed, as does an unsigned 408, 421, 429 or 503 that does not say 'not executed'; undecoded bytes, interim responses, dropped bodies and single events are limited. New requests pass through the queue, so none overtakes an older or more urgent one, and a request that has used up its servers no longer blocks the others. The gateway listens for callers before it reports that it is ready, and exits with status 3 if it cannot; while it stops it accepts connections until its requests are answered.

--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/stream/EventSplitter.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/stream/EventSplitter.kt
@@ -21,6 +21,9 @@
     /** Whether bytes of an incomplete event are buffered. */
     val unfinished: Boolean get() = pending.size() > 0
 
+    /** Whether the incomplete event is longer than [MAX_EVENT_BYTES], so that the stream must be given up. */
+    val oversized: Boolean get() = pending.size() > MAX_EVENT_BYTES
+
     /** Adds [bytes] and returns the events completed by them, or null. */
     fun add(bytes: ByteArray): ByteArray? {
         var complete = 0
@@ -63,10 +66,12 @@
         return false
     }
 
-    private companion object {
-        const val ID_FIELD = "id:"
+    companion object {
+        /** Events hold a few tokens; the limit only bounds the memory that a faulty server can take. */
+        const val MAX_EVENT_BYTES = 1024 * 1024
+        private const val ID_FIELD = "id:"
 
         /** Only id lines are parsed, and ids are short numbers. */
-        const val MAX_ID_LINE_LENGTH = 64
+        private const val MAX_ID_LINE_LENGTH = 64
     }
 }
--- a/tarragonport-core/src/test/kotlin/io/tarragonport/core/gateway/stream/EventSplitterTest.kt
+++ b/tarragonport-core/src/test/kotlin/io/tarragonport/core/gateway/stream/EventSplitterTest.kt
@@ -2,6 +2,7 @@
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertTrue
 
 /** Guards against forwarding a truncated event as a complete one. */
 class EventSplitterTest {
@@ -40,4 +41,17 @@
             assertEquals("3", splitter.lastId)
         }
     }
+
+    @Test
+    fun `an event that never ends is reported before it fills the memory`() {
+        val splitter = EventSplitter()
+        val piece = "data: ${"x".repeat(10_000)}".toByteArray()
+        var added = 0
+        while (!splitter.oversized && added < 100 * EventSplitter.MAX_EVENT_BYTES) {
+            splitter.add(piece)
+            added += piece.size
+        }
+        assertTrue(splitter.oversized)
+        assertTrue(added <= EventSplitter.MAX_EVENT_BYTES + piece.size, "$added bytes")
+    }
 }
--- a/tarragonport-core/src/test/kotlin/io/tarragonport/core/gateway/waiting/RequestQueueTest.kt
+++ b/tarragonport-core/src/test/kotlin/io/tarragonport/core/gateway/waiting/RequestQueueTest.kt
@@ -1,22 +1,114 @@
 package io.tarragonport.core.gateway.waiting
 
+import io.tarragonport.api.id.ServiceId
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 
-/** Guards against sending a less urgent request before a more urgent one. */
+/** Guards against sending a request before a more urgent or an older one, and against one that blocks all others. */
 class RequestQueueTest {
+    private val queue = RequestQueue<Item>()
+    private val sent = mutableListOf<String>()
+    private val places = mutableMapOf<String, Int>()
+
+    private inner class Item(
+        val name: String,
+        override val priority: Int,
+        service: String = "engines",
+        override val excludesServers: Boolean = false,
+        private val afterSending: () -> Unit = {},
+    ) : QueuedRequest {
+        override val service = ServiceId(service)
+
+        override fun dispatch(): Boolean {
+            val free = places[service.value] ?: 0
+            if (free == 0 || excludesServers) return false
+            places[service.value] = free - 1
+            sent += name
+            afterSending()
+            return true
+        }
+    }
+
+    private class Case(
+        val title: String,
+        val waiting: List<Item>,
+        val arriving: Item,
+        val places: Map<String, Int>,
+        val sent: List<String>,
+    )
+
     @Test
-    fun `requests are ordered by priority and then by arrival`() {
-        val queue = RequestQueue<String>()
-        listOf("review" to 2, "chat" to 0, "check" to 1, "second chat" to 0).forEach { (item, priority) ->
-            queue.add(item, priority)
+    fun `a burst is sent in order of priority and arrival whatever arrives while it waits`() {
+        listOf(
+            Case("nothing waits", emptyList(), Item("chat", 0), mapOf("engines" to 1), listOf("chat")),
+            Case(
+                "an older request of the same priority waits",
+                listOf(Item("chat", 0)),
+                Item("second chat", 0),
+                mapOf("engines" to 1),
+                listOf("chat"),
+            ),
+            Case(
+                "a more urgent request waits",
+                listOf(Item("review", 2), Item("chat", 0)),
+                Item("check", 1),
+                mapOf("engines" to 2),
+                listOf("chat", "check"),
+            ),
+            Case(
+                "a less urgent request waits",
+                listOf(Item("review", 2)),
+                Item("chat", 0),
+                mapOf("engines" to 1),
+                listOf("chat"),
+            ),
+            Case(
+                "a request that has used up its servers waits",
+                listOf(Item("retry", 0, excludesServers = true)),
+                Item("chat", 0),
+                mapOf("engines" to 1),
+                listOf("chat"),
+            ),
+            Case(
+                "another service is full",
+                listOf(Item("order", 0, "ledger")),
+                Item("review", 2),
+                mapOf("engines" to 1),
+                listOf("review"),
+            ),
+        ).forEach { case ->
+            sent.clear()
+            places.clear()
+            case.waiting.forEach(queue::add)
+            places += case.places
+            queue.submit(case.arriving)
+            assertEquals(case.sent, sent, case.title)
+            (case.waiting + case.arriving).forEach { assertEquals(it.name !in sent, it in queue, case.title) }
+            (case.waiting + case.arriving).forEach(queue::remove)
         }
-        assertEquals(listOf("chat", "second chat", "check", "review"), queue.ordered())
-        assertTrue(queue.remove("chat"))
-        assertFalse(queue.remove("chat"))
-        assertEquals(3, queue.size)
-        assertEquals("second chat", queue.ordered().first())
+    }
+
+    @Test
+    fun `no request is sent twice if a failure dispatches the queue again`() {
+        places["engines"] = 3
+        val items = listOf(Item("first", 0, afterSending = queue::dispatch), Item("second", 0), Item("third", 1))
+        items.forEach(queue::add)
+        queue.dispatch()
+        assertEquals(listOf("first", "second", "third"), sent.sorted())
+        assertEquals(items.size, sent.size)
+        assertTrue(queue.isEmpty)
+    }
+
+    @Test
+    fun `a removed request is not sent`() {
+        val item = Item("chat", 0)
+        queue.add(item)
+        assertTrue(queue.remove(item))
+        assertFalse(queue.remove(item))
+        places["engines"] = 1
+        queue.dispatch()
+        assertTrue(sent.isEmpty())
     }
 }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/Gateway.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/Gateway.kt
@@ -50,12 +50,16 @@
         }
     private val statusServer = StatusServer(loop, ::status)
 
-    /** Opens the listening sockets and starts watching the object store. */
+    /**
+     * Opens the listening sockets and starts watching the object store. The readiness address comes last, so that a
+     * process that cannot accept callers never reports that it is ready. Throws [java.io.IOException] if an address is
+     * in use.
+     */
     fun start() {
-        control.start()
-        statusServer.start(settings.readinessAddress)
-        statusServer.start("${settings.ip}:${settings.metricsPort}")
         frontend.start(settings.callerAddress)
+        statusServer.start("${settings.ip}:${settings.metricsPort}")
+        statusServer.start(settings.readinessAddress)
+        control.start()
         log.logEvent(
             GatewayEvents.GATEWAY_STARTED,
             "vm" to settings.vmId,
@@ -67,19 +71,22 @@
     /**
      * Shuts down gracefully. The process first reports that it is not ready and keeps accepting connections, because
      * the platform removes it only after two such responses. It then closes idle connections and waits for requests in
-     * flight to complete.
+     * flight to complete; connections are accepted until then, because closing the listening socket resets those that
+     * wait to be accepted.
      */
     suspend fun stop() {
         log.logEvent(GatewayEvents.GATEWAY_DRAINING, "seconds" to activeSettings.stopSeconds)
         val shutdownTime = activeSettings.stopSeconds.seconds - STOP_RESERVE
         loop.execute { state.draining = true }
         delay(minOf(ACCEPT_AFTER_STOP_SIGNAL, shutdownTime / 2))
-        loop.execute {
-            frontend.stop()
-            requestHandler.closeConnections()
-        }
+        loop.execute { requestHandler.closeConnections() }
         val finished =
-            withTimeoutOrNull(shutdownTime - minOf(ACCEPT_AFTER_STOP_SIGNAL, shutdownTime / 2)) { awaitRequests() }
+            withTimeoutOrNull(shutdownTime - minOf(ACCEPT_AFTER_STOP_SIGNAL, shutdownTime / 2)) {
+                awaitRequests()
+                // Requests accepted until now are served as well.
+                loop.execute { frontend.stop() }
+                awaitRequests()
+            }
         control.stop()
         log.logEvent(GatewayEvents.GATEWAY_STOPPED, "complete" to (finished != null))
     }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/GatewayMain.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/GatewayMain.kt
@@ -6,6 +6,7 @@
 import org.kohsuke.args4j.CmdLineException
 import org.kohsuke.args4j.CmdLineParser
 import sun.misc.Signal
+import java.io.IOException
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import kotlin.system.exitProcess
@@ -13,10 +14,12 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Entry point of `tarragonportd gateway`; exits with 0 after a graceful shutdown, 2 for invalid arguments or settings.
+ * Entry point of `tarragonportd gateway`; exits with 0 after a graceful shutdown, 2 for invalid arguments
+ * or settings, 3 if an address cannot be used.
  */
 internal object GatewayMain {
     private const val EXIT_INVALID = 2
+    private const val EXIT_NOT_LISTENING = 3
     private val STOP_SIGNALS = listOf("TERM", "INT")
 
     /** Interval at which the file is checked for changes without SIGHUP; a read takes a few microseconds. */
@@ -36,7 +39,12 @@
         val stopped = CountDownLatch(1)
         STOP_SIGNALS.forEach { name -> Signal.handle(Signal(name)) { stopped.countDown() } }
         Signal.handle(Signal("HUP")) { settingsFile.read().fold(gateway::reloadFailed, gateway::reload) }
-        gateway.start()
+        try {
+            gateway.start()
+        } catch (exception: IOException) {
+            LogSetup.stop()
+            exit(listOf("tarragonportd gateway: cannot listen: ${exception.message}"), EXIT_NOT_LISTENING)
+        }
         while (!stopped.await(SETTINGS_POLL_INTERVAL.inWholeMilliseconds, TimeUnit.MILLISECONDS)) {
             settingsFile.readIfChanged()?.fold(gateway::reloadFailed, gateway::reload)
         }
@@ -55,8 +63,11 @@
         return parsed
     }
 
-    private fun exit(lines: List<String>): Nothing {
+    private fun exit(
+        lines: List<String>,
+        status: Int = EXIT_INVALID,
+    ): Nothing {
         lines.forEach(System.err::println)
-        exitProcess(EXIT_INVALID)
+        exitProcess(status)
     }
 }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/ServerConnection.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/ServerConnection.kt
@@ -27,7 +27,8 @@
  *
  * A server can send a late response to an earlier request where the response to the next one is expected. Such a
  * response is detected by its request id: it is read and dropped, the connection is not reused, and the expected
- * response may still follow. The connection returns to its pool only when everything received has been decoded, so that
+ * response may still follow. A response without the id fails the request, because nothing shows to which request it
+ * belongs. Bytes that belong to no response are limited. The connection returns to its pool only when everything received has been decoded, so that
  * bytes after a response cannot be mistaken for the response to the next request.
  */
 internal class ServerConnection(
@@ -40,6 +41,8 @@
     private var listener: ResponseListener? = null
     private var expectedId: RequestId? = null
     private var dropping = false
+    private var droppedBytes = 0L
+    private var interimResponses = 0
     private var ended = false
     private var written = true
     private var reusable = true
@@ -71,6 +74,8 @@
         expectedId = request.id
         ended = false
         written = false
+        droppedBytes = 0
+        interimResponses = 0
         idleSince = null
         decoder.headRequest = request.method == HttpMethod.HEAD
         val message =
@@ -126,6 +131,7 @@
     ) = fail(cause.message ?: cause.javaClass.simpleName)
 
     private fun read(message: HttpObject) {
+        decoder.partDecoded()
         val receiver = listener
         when {
             message.decoderResult().isFailure -> fail("invalid response: ${message.decoderResult().cause().message}")
@@ -140,6 +146,12 @@
     ) {
         if (message is HttpResponse && !startResponse(message, receiver)) return
         if (message is HttpContent) {
+            if (dropping) droppedBytes += message.content().readableBytes()
+            if (droppedBytes >
+                MAXIMUM_DROPPED_BYTES
+            ) {
+                return fail("responses to other requests exceed $MAXIMUM_DROPPED_BYTES bytes")
+            }
             if (message.content().isReadable && !dropping && !receiver.bodyReceived(message.content())) return discard()
             if (message is LastHttpContent) responseEnded(receiver)
         }
@@ -151,7 +163,12 @@
     ): Boolean {
         if (response.status().code() < FIRST_FINAL_STATUS) {
             dropping = true
-            return true
+            if (++interimResponses >
+                MAXIMUM_INTERIM_RESPONSES
+            ) {
+                fail("more than $MAXIMUM_INTERIM_RESPONSES interim responses")
+            }
+            return listener != null
         }
         val metadata = ServerResponseHeaders.decode(response.status().code()) { response.headers().get(it) }
         dropping = metadata.requestId != null && metadata.requestId != expectedId
@@ -159,6 +176,11 @@
             reusable = false
             return true
         }
+        if (metadata.requestId != expectedId) {
+            // It can belong to any earlier request on this connection, so it says nothing about this one.
+            fail("response without the id of the request")
+            return false
+        }
         updateIdleLimit(response)
         if (receiver.responseStarted(response, metadata)) return true
         discard()
@@ -221,6 +243,12 @@
         private val TIMEOUT = Regex("timeout=(\\d+)")
         private const val FIRST_FINAL_STATUS = 200
 
+        /** Servers send at most a few, such as progress notices. */
+        private const val MAXIMUM_INTERIM_RESPONSES = 16
+
+        /** As much as a complete response to another request can have. */
+        private const val MAXIMUM_DROPPED_BYTES = 8L * 1024 * 1024
+
         /** Servers that announce no keep-alive timeout close idle connections within a second. */
         private val DEFAULT_IDLE_LIMIT: Duration = 400.milliseconds
 
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/ServerResponseDecoder.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/ServerResponseDecoder.kt
@@ -1,5 +1,8 @@
 package io.tarragonport.daemon.gateway.egress
 
+import io.netty.buffer.ByteBuf
+import io.netty.channel.ChannelHandlerContext
+import io.netty.handler.codec.TooLongFrameException
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpResponse
@@ -16,6 +19,25 @@
     /** Whether the request in flight has method HEAD. */
     var headRequest = false
 
+    /** Bytes received since the last decoded part of a response. */
+    private var undecodedBytes = 0L
+
+    override fun channelRead(
+        context: ChannelHandlerContext,
+        message: Any,
+    ) {
+        if (message is ByteBuf) undecodedBytes += message.readableBytes()
+        super.channelRead(context, message)
+        if (undecodedBytes > MAXIMUM_UNDECODED_BYTES && context.channel().isOpen) {
+            context.fireExceptionCaught(TooLongFrameException("$undecodedBytes bytes without a part of a response"))
+        }
+    }
+
+    /** Called for each decoded part of a response. */
+    fun partDecoded() {
+        undecodedBytes = 0
+    }
+
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean {
         val status = (message as? HttpResponse)?.status()?.code()
         val final = status == null || status >= FIRST_FINAL_STATUS
@@ -30,5 +52,8 @@
         const val MAXIMUM_HEADER_BYTES = 65_536
         const val MAXIMUM_CHUNK_BYTES = 65_536
         const val FIRST_FINAL_STATUS = 200
+
+        /** More than the longest head, because the decoder skips some bytes before a head without an error. */
+        const val MAXIMUM_UNDECODED_BYTES = 4L * MAXIMUM_HEADER_BYTES
     }
 }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Attempt.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Attempt.kt
@@ -31,6 +31,7 @@
     private val loop: EventLoop,
     private val expectsStream: Boolean,
     private val limits: AttemptLimits,
+    private val now: () -> ComparableTimeMark,
     private val listener: AttemptListener,
 ) : ResponseListener {
     val server: TrackedServer get() = choice.server
@@ -57,12 +58,16 @@
     private var notExecuted = false
     private var finished = false
     private var timeout: ScheduledFuture<*>? = null
+    private var timeoutAt: ComparableTimeMark? = null
 
-    /** Acquires a connection from [connections], then calls [buildRequest] and sends its result. */
+    /**
+     * Acquires a connection from [connections], then calls [buildRequest] and sends its result. A request whose
+     * [deadline] has passed by then is not sent, because a delayed traffic thread may run this before the timer.
+     */
     fun start(
         connections: ServerConnectionPool,
+        deadline: ComparableTimeMark,
         buildRequest: () -> OutgoingRequest,
-        now: () -> ComparableTimeMark,
     ) = connections.acquire { opened ->
         when {
             opened == null -> {
@@ -73,6 +78,12 @@
                 opened.cancel()
             }
 
+            deadline <= now() -> {
+                opened.cancel()
+                finish()
+                listener.expired(this)
+            }
+
             else -> {
                 connection = opened
                 sentAt = now()
@@ -106,6 +117,10 @@
             fail(AttemptOutcome.BROKEN, "success response without signature or with encoded body")
             return false
         }
+        if (status in NOT_RUN_STATUSES && !notExecuted && metadata.signature == null) {
+            fail(AttemptOutcome.BROKEN, "unsigned status $status that does not state that the request was not run")
+            return false
+        }
         streaming = success && expectsStream && isEventStream(response)
         if (!streaming) body = Unpooled.buffer()
         return true
@@ -146,7 +161,12 @@
     }
 
     private fun addToStream(bytes: ByteBuf): Boolean {
-        val events = splitter.add(ByteBufUtil.getBytes(bytes)) ?: return true
+        val events = splitter.add(ByteBufUtil.getBytes(bytes))
+        if (splitter.oversized) {
+            fail(AttemptOutcome.BROKEN, "event exceeds ${EventSplitter.MAX_EVENT_BYTES} bytes")
+            return false
+        }
+        if (events == null) return true
         restartTimeout(limits.eventTimeout)
         val head = checkNotNull(response) { "events arrived before the response headers" }
         listener.eventsReceived(this, head.status().code(), head.headers(), events)
@@ -170,13 +190,22 @@
             .orEmpty()
             .startsWith("text/event-stream")
 
+    /** Sets the time limit for the next event; the timer is kept, because most limits are moved long before they end. */
     private fun restartTimeout(limit: Duration?) {
-        timeout?.cancel(false)
-        timeout = limit?.let { loop.schedule(::timedOut, it.inWholeMilliseconds, TimeUnit.MILLISECONDS) }
+        timeoutAt = limit?.let { now() + it }
+        if (limit != null && timeout == null) scheduleTimeout(limit)
+    }
+
+    private fun scheduleTimeout(delay: Duration) {
+        timeout = loop.schedule(::timedOut, delay.inWholeMilliseconds + 1, TimeUnit.MILLISECONDS)
     }
 
     private fun timedOut() {
-        if (finished) return
+        timeout = null
+        val end = timeoutAt
+        if (finished || end == null) return
+        val remaining = end - now()
+        if (remaining > Duration.ZERO) return scheduleTimeout(remaining)
         fail(AttemptOutcome.SILENT, "silence")
         connection?.cancel()
     }
@@ -203,5 +232,8 @@
 
     private companion object {
         val SUCCESS = 200..299
+
+        /** Statuses that tell a caller that its request has not run and never will. */
+        val NOT_RUN_STATUSES = setOf(408, 421, 429, 503)
     }
 }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/AttemptListener.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/AttemptListener.kt
@@ -22,6 +22,9 @@
     /** The stream is complete. */
     fun streamEnded(attempt: Attempt)
 
+    /** The deadline of the request passed before it was sent. */
+    fun expired(attempt: Attempt)
+
     /** The attempt ended without a usable response, or without the rest of its events. */
     fun failed(
         attempt: Attempt,
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Exchange.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Exchange.kt
@@ -14,6 +14,7 @@
 import io.tarragonport.core.gateway.balance.ServerChoice
 import io.tarragonport.core.gateway.balance.TrackedServer
 import io.tarragonport.core.gateway.route.RouteDecision
+import io.tarragonport.core.gateway.waiting.QueuedRequest
 import io.tarragonport.daemon.gateway.egress.OutgoingRequest
 import io.tarragonport.daemon.gateway.ingress.CallerChannel
 import io.tarragonport.daemon.gateway.ingress.CallerRequest
@@ -35,13 +36,13 @@
     private val request: CallerRequest,
     private val caller: CallerChannel,
     private val decision: RouteDecision.Serve,
-    val service: ServiceId,
+    override val service: ServiceId,
 ) : InFlightRequest,
+    QueuedRequest,
     AttemptListener {
     private val route: GatewayRoute = decision.route
 
-    /** Priority among the queued requests; 0 is served first. */
-    val priority: Int get() = decision.priority
+    override val priority: Int get() = decision.priority
     private val history = AttemptHistory()
     private val callerTimeout: Duration = request.metadata.callerTimeout ?: route.timeout
     private val deadline: ComparableTimeMark = request.receivedAt + minOf(callerTimeout, route.timeout)
@@ -57,15 +58,10 @@
         state.budget(service).requestArrived()
         request.metadata.prompt?.let { state.prompts.add(service, route.name, it.promptTokens) }
         timeout = schedule(deadline - state.now(), ::timedOut)
-        if (!dispatch()) enqueue()
+        submit()
     }
 
-    /** Tries to send the queued request; returns true if it is no longer queued. */
-    fun dispatchQueued(): Boolean {
-        if (!dispatch()) return false
-        state.queue.remove(this)
-        return true
-    }
+    override val excludesServers: Boolean get() = history.sent + history.notConnected > 0
 
     override fun callerDisconnected() {
         if (done) return
@@ -128,6 +124,8 @@
         if (responseStarted) caller.endResponse() else respondWithError(ErrorKind.BACKEND_FAILED, null)
     }
 
+    override fun expired(attempt: Attempt) = timedOut()
+
     override fun failed(
         attempt: Attempt,
         outcome: AttemptOutcome,
@@ -147,12 +145,12 @@
         }
     }
 
-    private fun dispatch(): Boolean {
+    override fun dispatch(): Boolean {
         val gatewayService = state.service(service) ?: return false
         val limit = state.connectionLimit(gatewayService)
         val choice =
             state.selector.choose(selection(), state.now()) {
-                !history.contains(it.registered.id) && state.pools.of(it.registered).available(limit)
+                !history.contains(it.registered.id) && state.pools.of(it).available(limit)
             } ?: return false
         send(choice)
         return true
@@ -168,7 +166,7 @@
 
     private fun send(choice: ServerChoice) {
         val server = choice.server
-        val newAttempt = Attempt(choice, state.loop, route.repeatability.streams, attemptLimits(), this)
+        val newAttempt = Attempt(choice, state.loop, route.repeatability.streams, attemptLimits(), state::now, this)
         attempt = newAttempt
         server.recordSent(choice.tokensToProcess)
         state.usage.requestSent(service, choice.tokensToProcess)
@@ -184,7 +182,7 @@
             "in_flight" to server.inFlight,
             "configuration" to decision.version,
         )
-        newAttempt.start(state.pools.of(server.registered), { buildRequest(choice) }, state::now)
+        newAttempt.start(state.pools.of(server), deadline) { buildRequest(choice) }
     }
 
     private fun buildRequest(choice: ServerChoice): OutgoingRequest {
@@ -211,11 +209,14 @@
         return AttemptLimits(first.takeIf { it < remaining * MAXIMUM_TIMEOUT_SHARE }, eventTimeout)
     }
 
-    private fun enqueue() {
+    private fun submit() {
         val remaining = queueDeadline - state.now()
-        if (remaining <= Duration.ZERO) return failWithoutServer()
-        state.enqueue(this)
-        schedule(remaining) { if (state.queue.remove(this)) failWithoutServer() }
+        if (remaining <= Duration.ZERO) {
+            if (!dispatch()) failWithoutServer()
+            return
+        }
+        state.submit(this)
+        if (this in state.queue) schedule(remaining) { if (state.queue.remove(this)) failWithoutServer() }
     }
 
     private fun failWithoutServer() {
@@ -247,7 +248,7 @@
             "left_ms" to remaining.inWholeMilliseconds,
         )
         if (!allowed) return false
-        if (!dispatch()) enqueue()
+        submit()
         return true
     }
 
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/TrafficState.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/TrafficState.kt
@@ -68,23 +68,20 @@
     fun connectionLimit(service: GatewayService): Int =
         (service.maximumConnections * CONNECTION_SHARE / liveVms).toInt().coerceAtLeast(1)
 
-    /** Queues [exchange]; the queue is polled because servers suspended for a short time become available again. */
-    fun enqueue(exchange: Exchange) {
-        queue.add(exchange, exchange.priority)
+    /**
+     * Sends [exchange] to a server in its turn; until then it is queued. The queue is polled because servers suspended
+     * for a short time become available again.
+     */
+    fun submit(exchange: Exchange) {
+        queue.submit(exchange)
         pollQueue()
     }
 
     /** Dispatches queued requests to servers with capacity, in order of priority. */
-    fun dispatchQueued() {
-        if (queue.size == 0) return
-        val fullServices = mutableSetOf<ServiceId>()
-        queue.ordered().forEach { exchange ->
-            if (exchange.service !in fullServices && !exchange.dispatchQueued()) fullServices += exchange.service
-        }
-    }
+    fun dispatchQueued() = queue.dispatch()
 
     private fun pollQueue() {
-        if (polling || queue.size == 0) return
+        if (polling || queue.isEmpty) return
         polling = true
         loop.schedule({
             polling = false
--- a/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/GatewayControlTest.kt
+++ b/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/GatewayControlTest.kt
@@ -1,11 +1,17 @@
 package io.tarragonport.standin.fleet
 
 import io.tarragonport.standin.fleet.ScriptedServer.Companion.send
+import io.tarragonport.wire.WireHeaders
 import org.junit.jupiter.api.AfterEach
+import java.io.IOException
+import java.net.InetAddress
+import java.net.ServerSocket
 import java.net.Socket
+import java.util.Collections
 import kotlin.concurrent.thread
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
 import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 
@@ -107,6 +113,51 @@
         assertEquals(200, status)
     }
 
+    @Test
+    fun `a gateway whose caller address is in use fails to start and never reports that it is ready`() {
+        fixture.store.configure(FleetSamples.configuration())
+        ServerSocket(fixture.callerPort, 1, InetAddress.getLoopbackAddress()).use {
+            assertFailsWith<IOException> { fixture.gateway.start() }
+            assertFalse(fixture.isReady())
+        }
+    }
+
+    /** The platform sends new connections until the second failed readiness probe, here with four callers at a time. */
+    @Test
+    fun `requests accepted under load after the stop signal are answered`() {
+        fixture.store.configure(FleetSamples.configuration())
+        fixture.startServer(FleetSamples.PLAIN, "s1") { call, socket ->
+            Thread.sleep(50)
+            respondOk(call, socket)
+        }
+        fixture.start()
+        val statuses = Collections.synchronizedList(mutableListOf<Int?>())
+        val stopping = thread { fixture.close() }
+        val end = System.nanoTime() + SENDING_AFTER_STOP_NANOS
+        val callers =
+            List(CALLERS) { caller ->
+                thread {
+                    var number = 0
+                    while (System.nanoTime() < end) statuses += statusOnNewConnection("stop-$caller-${number++}")
+                }
+            }
+        callers.forEach { it.join() }
+        stopping.join()
+        assertTrue(statuses.size > 5 * CALLERS, "$statuses")
+        assertEquals(setOf<Int?>(200), statuses.toSet())
+    }
+
+    private fun statusOnNewConnection(requestId: String): Int? =
+        fixture.connect().use { socket ->
+            socket.getOutputStream().send(
+                "POST /post/a HTTP/1.1\r\nHost: ${FleetSamples.HOST}\r\nConnection: close\r\n" +
+                    "${WireHeaders.REQUEST_ID}: $requestId\r\n${WireHeaders.KEY}: ${FleetSamples.KEY}\r\n" +
+                    "Content-Length: 0\r\n\r\n",
+            )
+            val answer = socket.getInputStream().readAllBytes().decodeToString()
+            answer.removePrefix("HTTP/1.1 ").take(3).toIntOrNull()
+        }
+
     @Test
     fun `usage windows are reported once with the fencing token of the leaseholder`() {
         fixture.store.configure(FleetSamples.configuration())
@@ -136,4 +187,11 @@
         fixture.eventually("the first figures were not deleted") { first !in figures() }
         assertTrue(figures().isNotEmpty())
     }
+
+    private companion object {
+        const val CALLERS = 4
+
+        /** Less than half of the stop time of the fixture, for which connections are accepted in any case. */
+        const val SENDING_AFTER_STOP_NANOS = 1_400_000_000L
+    }
 }
--- a/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/GatewayFixture.kt
+++ b/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/GatewayFixture.kt
@@ -21,7 +21,7 @@
 internal class GatewayFixture : AutoCloseable {
     val store = StoreStandIn()
     private val servers = mutableListOf<ScriptedServer>()
-    private val callerPort = FreePorts.next()
+    val callerPort = FreePorts.next()
     private val readinessPort = FreePorts.next()
     private val client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build()
     private val platformPort = store.start()
