Let a few VMs watch the current state of the store and pass changes on

Changes of servers and configuration go from VM to VM at once, four receivers each; EntryVersions keeps a late or repeated change from bringing back a server that has left, and deletions are left to the own watch while the store is away. Records are written every 5 s from 30 VMs on. Also: a request read late by a busy traffic thread is dated back to when it can have arrived (ArrivalClock).

--- a/tarragonport-api/src/main/kotlin/io/tarragonport/api/peer/PeerMessage.kt
+++ b/tarragonport-api/src/main/kotlin/io/tarragonport/api/peer/PeerMessage.kt
@@ -136,11 +136,20 @@
 
     /**
      * Requests a copy of the data that the receiver has read from the object store; the response is sent to [address].
+     * It contains the entries of backend servers only if [withServers].
      */
     @Serializable
     @SerialName("gq")
     data class GatewaySnapshotRequest(
         @CborLabel(1) val address: String,
+        @CborLabel(2) val withServers: Boolean = true,
+    ) : PeerMessage
+
+    /** Changes of backend servers' entries that a VM has just learnt of, which the receiver passes on if they are new. */
+    @Serializable
+    @SerialName("gc")
+    data class GatewayServerChanges(
+        @CborLabel(1) val changes: List<ServerEntryChange>,
     ) : PeerMessage
 
     /** Data that a gateway has read from the object store: the [configuration] and the entries of backend servers. */
--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/fleet/FleetIntervals.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/fleet/FleetIntervals.kt
@@ -16,7 +16,8 @@
     private val scale = (liveVms.toDouble() / SMALL_FLEET).coerceIn(1.0, MAX_SCALE)
 
     /** Interval at which a VM writes its record, and at which it reads all records. */
-    val recordInterval: Duration = RECORD_INTERVAL * scale
+    val recordInterval: Duration =
+        RECORD_INTERVAL * (liveVms.toDouble() / SMALL_RECORD_FLEET).coerceIn(1.0, MAX_SCALE)
 
     /** Long-poll timeout of a watch. */
     val watchTimeout: Duration = WATCH_TIMEOUT * scale.coerceAtMost(MAX_WATCH_SCALE)
@@ -46,6 +47,9 @@
         /** Fleet size whose record writes use a twentieth of the write rate limit of the smallest deployment. */
         const val SMALL_FLEET = 35
 
+        /** Fleet size up to which the records of all VMs are a small part of the billed calls. */
+        const val SMALL_RECORD_FLEET = 12
+
         /**
          * Limited so that every VM writes a record between the end of a usage window and the time its report is due.
          */
--- a/tarragonport-core/src/test/kotlin/io/tarragonport/core/gateway/fleet/FleetIntervalsTest.kt
+++ b/tarragonport-core/src/test/kotlin/io/tarragonport/core/gateway/fleet/FleetIntervalsTest.kt
@@ -20,8 +20,10 @@
         listOf(
             Case(1, 2.seconds, 2.5.seconds),
             Case(7, 2.seconds, 2.5.seconds),
-            Case(35, 2.seconds, 2.5.seconds),
-            Case(70, 4.seconds, 5.seconds),
+            Case(12, 2.seconds, 2.5.seconds),
+            Case(24, 4.seconds, 2.5.seconds),
+            Case(35, 5.seconds, 2.5.seconds),
+            Case(70, 5.seconds, 5.seconds),
             Case(410, 5.seconds, 5.seconds),
         ).forEach { case ->
             val intervals = FleetIntervals(case.liveVms)
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ConfigurationUpdater.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ConfigurationUpdater.kt
@@ -1,5 +1,6 @@
 package io.tarragonport.daemon.gateway.control
 
+import io.tarragonport.api.id.ObjectVersion
 import io.tarragonport.api.platform.ObjectEntry
 import io.tarragonport.core.gateway.route.ActiveConfiguration
 import io.tarragonport.daemon.gateway.exchange.GatewayEvents
@@ -26,6 +27,7 @@
     override fun onListing(
         objects: List<ObjectEntry>,
         afterOutage: Boolean,
+        revision: ObjectVersion,
     ) = objects.forEach(::onChange)
 
     override fun onChange(entry: ObjectEntry) {
@@ -33,10 +35,15 @@
         if (entry.name == ConfigurationDecoder.NAME && value != null) applyIfNewer(value)
     }
 
+    override fun storeLost() = Unit
+
+    override fun storeRegained() = Unit
+
     override fun storeRecovered() = Unit
 
     /** Applies the configuration [value] if it is newer than the active one. */
     fun applyIfNewer(value: String) {
+        if (value == activeText) return
         ConfigurationDecoder.decode(value).fold(
             { reason -> log.event(GatewayEvents.CONFIGURATION_REJECTED, "reason" to reason) },
             { content ->
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ControlModule.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ControlModule.kt
@@ -7,11 +7,13 @@
 import io.tarragonport.api.id.Incarnation
 import io.tarragonport.api.id.OrganisationId
 import io.tarragonport.api.id.ServiceId
+import io.tarragonport.api.id.VmId
 import io.tarragonport.api.peer.CrashRecord
 import io.tarragonport.api.settings.GatewaySettings
 import io.tarragonport.core.gateway.balance.ServerLoad
 import io.tarragonport.core.gateway.fleet.FleetIntervals
 import io.tarragonport.core.gateway.fleet.LoadExchange
+import io.tarragonport.core.gateway.fleet.RelayPlan
 import io.tarragonport.core.gateway.fleet.ServiceDemandMeter
 import io.tarragonport.core.gateway.fleet.VmRecord
 import io.tarragonport.core.gateway.fleet.VmRecordTable
@@ -55,7 +57,7 @@
  */
 internal class ControlModule(
     private val settings: GatewaySettings,
-    clock: TimeSource.WithComparableMarks,
+    private val clock: TimeSource.WithComparableMarks,
     private val log: ControlLog,
     private val runOnTrafficThread: ((TrafficState) -> Unit) -> Unit,
 ) {
@@ -67,16 +69,17 @@
     private val http = PlatformHttp(settings.platformUrl, STORE_TIMEOUTS, loop)
     private val store = UserPlatformObjectStore(http)
     private val usageCounter = UsageWindowCounter(settings.usageWindowSeconds.seconds)
-    private val configurationUpdater =
+    private val configurationUpdater: ConfigurationUpdater =
         ConfigurationUpdater(log) { next ->
             runOnTrafficThread {
                 it.configuration = next
                 it.serverTable.configure(next.content.services)
                 it.dispatchQueued()
             }
+            peers.configurationChanged()
         }
-    private val serverListUpdater =
-        ServerListUpdater(ServerRegistry(clock), log) { registered ->
+    private val serverListUpdater: ServerListUpdater =
+        ServerListUpdater(ServerRegistry(clock), log, passOn = { peers.passOn(it) }) { registered ->
             serversListed = true
             runOnTrafficThread { state ->
                 state.serverTable.update(registered).forEach(state.pools::retire)
@@ -84,9 +87,13 @@
             }
         }
     private var intervals = FleetIntervals(liveVms = 1)
-    private val configurationWatcher =
-        ObjectWatcher(ConfigurationDecoder.PREFIX, store, clock, log, configurationUpdater) { intervals }
-    private val serverWatcher = ObjectWatcher(ServerDecoder.PREFIX, store, clock, log, serverListUpdater) { intervals }
+    private val currentWatchers = LeaseCandidacy(WATCH_ROLE, settings.vmId, CURRENT_WATCHERS) { liveVms }
+
+    /** VMs that were live at the last reading of the VM records. */
+    private var liveVms: Set<VmId> = emptySet()
+    private var watchesCurrent = true
+    private val configurationWatcher = watcher(ConfigurationDecoder.PREFIX, configurationUpdater)
+    private val serverWatcher = watcher(ServerDecoder.PREFIX, serverListUpdater)
 
     private val wallClock = SmoothedWallClock(Clock.System, clock)
     private val demand = ServiceDemandMeter(clock)
@@ -103,7 +110,7 @@
     private val fleetLoop =
         FleetLoop(RECORD_PREFIX, store, store, recordTable, log, { intervals.recordInterval }, ::fleetChanged)
     private val peerAddress = "${settings.ip}:${settings.peerPorts.first()}"
-    private val peers =
+    private val peers: GatewayPeers =
         GatewayPeers(
             settings.vmId,
             incarnation,
@@ -113,6 +120,7 @@
             configurationUpdater,
             serverListUpdater,
             interval = { intervals.announceInterval },
+            clock = clock,
             onOtherMessage = { from, message -> loadLoop.receive(from, message) },
         )
 
@@ -173,6 +181,7 @@
         peers.updatePeers(settings.seeds.map { "${it.substringBeforeLast(':')}:${settings.peerPorts.first()}" })
         launchLoop("peer messages") { peers.listen() }
         launchLoop("announcements") { peers.announce() }
+        launchLoop("changes") { peers.spreadChanges() }
         launchLoop("loads") { loadLoop.run() }
         leaseAndDutyLoop?.let { (lease, loop) ->
             launchLoop("lease") { lease.run() }
@@ -210,6 +219,7 @@
 
     private fun fleetChanged(live: List<VmRecord>) {
         intervals = FleetIntervals(live.size)
+        updateWatches(live.map { it.vm }.toSet())
         peers.updatePeers(live.map { it.peerAddress })
         loadLoop.updatePeers(live)
         val crashes = live.filter { it.vm != settings.vmId }.flatMap { it.crashes }
@@ -220,6 +230,17 @@
         }
     }
 
+    private fun updateWatches(live: Set<VmId>) {
+        if (live == liveVms) return
+        liveVms = live
+        watchesCurrent = live.size <= RelayPlan.MESH_SIZE || currentWatchers.eligible()
+    }
+
+    private fun watcher(
+        prefix: String,
+        listener: ObjectListener,
+    ) = ObjectWatcher(prefix, store, clock, log, listener, store, { watchesCurrent }) { intervals }
+
     private fun buildRecord(heartbeat: Long): VmRecord {
         val newest = usageCounter.windowAt(wallClock.now())
         val windows = usageCounter.after(newest - WINDOWS_IN_RECORD).associate { it.window to it.requests }
@@ -292,6 +313,10 @@
     private companion object {
         const val RECORD_PREFIX = "vms/"
         const val DUTY_LEASE = "duties"
+        const val WATCH_ROLE = "watch"
+
+        /** Number of VMs of a large fleet that watch the current state; one store call each per change is billed. */
+        const val CURRENT_WATCHERS = 7
 
         /**
          * Number of VMs that may acquire the lease. An object store that refuses a third of the VMs refuses all five
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/GatewayPeers.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/GatewayPeers.kt
@@ -5,12 +5,18 @@
 import io.tarragonport.api.id.VmId
 import io.tarragonport.api.peer.PeerEnvelope
 import io.tarragonport.api.peer.PeerMessage
+import io.tarragonport.api.peer.ServerEntryChange
 import io.tarragonport.daemon.peer.PeerTransport
 import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withContext
 import kotlin.random.Random
+import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
 
 /**
  * Distributes the newest configuration and the server list among the VMs by gossip, for VMs that cannot reach the
@@ -18,7 +24,8 @@
  *
  * Each VM announces the version of its active configuration to [FANOUT] others. A VM that has an older version, or
  * none, requests it; an older version is never applied. Addresses come from the VM records, the settings and messages.
- * Nothing depends on this exchange while the object store responds.
+ * In a large fleet most VMs watch the object store with a lag; changes of configuration and servers reach them by
+ * [spreadChanges] sooner. What is lost on the way comes with their own watch.
  */
 internal class GatewayPeers(
     private val vm: VmId,
@@ -29,10 +36,19 @@
     private val configurationUpdater: ConfigurationUpdater,
     private val serverListUpdater: ServerListUpdater,
     private val interval: () -> Duration,
+    private val clock: TimeSource.WithComparableMarks,
     private val random: Random = Random.Default,
     private val onOtherMessage: (VmId, PeerMessage) -> Unit = { _, _ -> },
 ) {
     private val addresses = linkedSetOf<String>()
+    private val unsentChanges = mutableListOf<ServerEntryChange>()
+    private val changeSignal = Channel<Unit>(Channel.CONFLATED)
+    private var requested: RequestedVersion? = null
+
+    private class RequestedVersion(
+        val version: ConfigurationVersion,
+        val requestedAt: ComparableTimeMark,
+    )
 
     /** Adds addresses of other VMs; beyond [MAXIMUM_ADDRESSES], the oldest are dropped. */
     fun updatePeers(discovered: Collection<String>) {
@@ -52,25 +68,63 @@
     }
 
     /** Announces the version of the active configuration to [FANOUT] random VMs. */
-    fun announceOnce() {
-        val state = PeerMessage.GatewayState(version(), ownAddress)
-        addresses.shuffled(random).take(FANOUT).forEach { send(it, state) }
+    fun announceOnce() = sendToRandom(FANOUT, PeerMessage.GatewayState(version(), ownAddress))
+
+    /** Passes [change] on to other VMs with the next round of [spreadChanges]. */
+    fun passOn(change: ServerEntryChange) {
+        unsentChanges += change
+        changeSignal.trySend(Unit)
+    }
+
+    /** Announces a new active configuration with the next round of [spreadChanges]. */
+    fun configurationChanged() {
+        changeSignal.trySend(Unit)
+    }
+
+    /** Passes changes on to [SPREAD_FANOUT] random VMs, each of which does the same; runs until cancelled. */
+    suspend fun spreadChanges() {
+        for (signal in changeSignal) {
+            delay(SPREAD_DELAY)
+            spreadOnce()
+        }
+    }
+
+    /** Sends the changes collected since the last round, and the version of the configuration if it is new. */
+    fun spreadOnce() {
+        if (unsentChanges.isNotEmpty()) {
+            sendToRandom(SPREAD_FANOUT, PeerMessage.GatewayServerChanges(unsentChanges.toList()))
+            unsentChanges.clear()
+        }
+        if (version() != announcedVersion) {
+            announcedVersion = version()
+            sendToRandom(SPREAD_FANOUT, PeerMessage.GatewayState(version(), ownAddress))
+        }
     }
 
+    private var announcedVersion = ConfigurationVersion(NO_VERSION)
+
+    private fun sendToRandom(
+        count: Int,
+        message: PeerMessage,
+    ) = addresses.shuffled(random).take(count).forEach { send(it, message) }
+
     /** Handles a message from another VM. */
     fun receive(envelope: PeerEnvelope) {
         when (val message = envelope.message) {
             is PeerMessage.GatewayState -> {
                 updatePeers(listOf(message.address))
                 val withoutServers = serverListUpdater.registered.isEmpty()
-                if (message.configuration > version() || withoutServers) {
-                    send(message.address, PeerMessage.GatewaySnapshotRequest(ownAddress))
+                val newer = message.configuration > version() && !alreadyRequested(message.configuration)
+                if (newer || withoutServers) {
+                    requested = RequestedVersion(message.configuration, clock.markNow())
+                    send(message.address, PeerMessage.GatewaySnapshotRequest(ownAddress, withoutServers))
                 }
             }
 
             is PeerMessage.GatewaySnapshotRequest -> {
                 configurationUpdater.activeText?.let { text ->
-                    send(message.address, PeerMessage.GatewaySnapshot(text, serverListUpdater.entries))
+                    val servers = if (message.withServers) serverListUpdater.entries else emptyMap()
+                    send(message.address, PeerMessage.GatewaySnapshot(text, servers))
                 }
             }
 
@@ -79,12 +133,19 @@
                 serverListUpdater.adopt(message.servers)
             }
 
+            is PeerMessage.GatewayServerChanges -> {
+                serverListUpdater.onPeerChanges(message.changes)
+            }
+
             else -> {
                 onOtherMessage(envelope.from, message)
             }
         }
     }
 
+    private fun alreadyRequested(version: ConfigurationVersion): Boolean =
+        requested?.let { it.version >= version && it.requestedAt.elapsedNow() < REQUEST_TIMEOUT } ?: false
+
     private fun version(): ConfigurationVersion =
         configurationUpdater.active?.content?.version ?: ConfigurationVersion(NO_VERSION)
 
@@ -103,6 +164,15 @@
          * in one interval and all of a large one in a few.
          */
         const val FANOUT = 2
+
+        /** With four receivers each, a change reaches 98 of 100 VMs in a few rounds; the own watch brings it to all. */
+        const val SPREAD_FANOUT = 4
+
+        /** Servers of a failure domain are reclaimed within some tens of milliseconds of each other. */
+        val SPREAD_DELAY: Duration = 20.milliseconds
+
+        /** A snapshot that has not arrived after this time is requested again. */
+        private val REQUEST_TIMEOUT: Duration = 1.seconds
         private const val MAXIMUM_ADDRESSES = 512
     }
 }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ObjectWatcher.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ObjectWatcher.kt
@@ -1,9 +1,11 @@
 package io.tarragonport.daemon.gateway.control
 
+import arrow.core.Either
 import io.tarragonport.api.id.ObjectVersion
 import io.tarragonport.api.platform.ObjectListing
 import io.tarragonport.api.platform.ObjectStore
 import io.tarragonport.api.platform.PlatformError
+import io.tarragonport.api.platform.RecentChanges
 import io.tarragonport.core.gateway.fleet.FleetIntervals
 import io.tarragonport.daemon.gateway.exchange.GatewayEvents
 import kotlinx.coroutines.delay
@@ -18,7 +20,8 @@
  *
  * An interrupted watch resumes at its last revision. After an outage, or if the object store no longer keeps the
  * changes since that revision, all objects are listed again. A stalled connection is detected after the wait time of
- * [intervals] plus the client's timeout margin.
+ * [intervals] plus the client's timeout margin. If [recentChanges] is given, it is used unless [watchesCurrent]: in a
+ * large fleet a few VMs watch the current state and pass changes on to the others.
  */
 internal class ObjectWatcher(
     private val prefix: String,
@@ -26,6 +29,8 @@
     private val clock: TimeSource.WithComparableMarks,
     private val log: ControlLog,
     private val listener: ObjectListener,
+    private val recentChanges: RecentChanges? = null,
+    private val watchesCurrent: () -> Boolean = { true },
     private val intervals: () -> FleetIntervals,
 ) {
     private var lastRevision: ObjectVersion? = null
@@ -44,14 +49,23 @@
         if (from == null) {
             store.list(prefix, withValues = true).fold({ failed(it) }, ::listed)
         } else {
-            store.watch(prefix, from, intervals().watchTimeout).fold({ failed(it) }) { changed(it, from) }
+            watch(from).fold({ failed(it) }) { changed(it, from) }
         }
     }
 
     private fun listed(listing: ObjectListing) {
         val outageDuration = endOutage()
         lastRevision = listing.revision
-        listener.onListing(listing.objects, outageDuration != null)
+        listener.onListing(listing.objects, outageDuration != null, listing.revision)
+    }
+
+    private suspend fun watch(from: ObjectVersion): Either<PlatformError, ObjectListing> {
+        val wait = intervals().watchTimeout
+        return if (recentChanges == null || watchesCurrent()) {
+            store.watch(prefix, from, wait)
+        } else {
+            recentChanges.watchRecent(prefix, from, wait)
+        }
     }
 
     private suspend fun changed(
@@ -78,6 +92,7 @@
         if (failingSince == null) {
             failingSince = clock.markNow()
             log.event(GatewayEvents.STORE_LOST, "kind" to prefix, "error" to error)
+            listener.storeLost()
         }
         delay(retryDelay)
         retryDelay = minOf(retryDelay * 2, MAXIMUM_RETRY_DELAY)
@@ -87,6 +102,7 @@
     private fun endOutage(): Duration? {
         val failureStart = failingSince ?: return null
         failingSince = null
+        listener.storeRegained()
         retryDelay = FIRST_RETRY_DELAY
         val duration = failureStart.elapsedNow()
         log.event(GatewayEvents.STORE_REGAINED, "kind" to prefix, "after_ms" to duration.inWholeMilliseconds)
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ServerListUpdater.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ServerListUpdater.kt
@@ -3,7 +3,9 @@
 import io.tarragonport.api.gateway.RegisteredServer
 import io.tarragonport.api.id.BackendServerId
 import io.tarragonport.api.id.ObjectVersion
+import io.tarragonport.api.peer.ServerEntryChange
 import io.tarragonport.api.platform.ObjectEntry
+import io.tarragonport.core.gateway.registry.EntryVersions
 import io.tarragonport.core.gateway.registry.ServerRegistry
 import io.tarragonport.daemon.gateway.exchange.GatewayEvents
 import io.tarragonport.wire.ServerDecoder
@@ -15,10 +17,13 @@
 internal class ServerListUpdater(
     private val registry: ServerRegistry,
     private val log: ControlLog,
+    private val passOn: (ServerEntryChange) -> Unit = {},
     private val apply: (List<RegisteredServer>) -> Unit,
 ) : ObjectListener {
     private val entryValues = mutableMapOf<String, String>()
+    private val versions = EntryVersions()
     private var listingReceived = false
+    private var storeAway = false
 
     /** The entries as stored in the object store, by name. */
     val entries: Map<String, String> get() = entryValues.toMap()
@@ -29,8 +34,10 @@
     override fun onListing(
         objects: List<ObjectEntry>,
         afterOutage: Boolean,
+        revision: ObjectVersion,
     ) {
         listingReceived = true
+        versions.listed(objects, revision)
         entryValues.clear()
         objects.forEach { entry -> entry.value?.let { entryValues[entry.name] = it } }
         val servers = objects.mapNotNull(::decode)
@@ -40,6 +47,23 @@
     }
 
     override fun onChange(entry: ObjectEntry) {
+        if (versions.accept(entry)) applyChange(entry)
+    }
+
+    /**
+     * Applies changes that another VM has seen, unless they are already known here. Deletions are left to the own watch
+     * while the object store is away, because entries that expire then may return.
+     */
+    fun onPeerChanges(changes: List<ServerEntryChange>) {
+        if (!listingReceived) return
+        changes.forEach { change ->
+            val entry = ObjectEntry(change.name, change.version, change.value, deleted = change.value == null)
+            if (!(storeAway && entry.deleted) && versions.accept(entry)) applyChange(entry)
+        }
+    }
+
+    private fun applyChange(entry: ObjectEntry) {
+        passOn(ServerEntryChange(entry.name, entry.version, entry.value.takeUnless { entry.deleted }))
         if (entry.deleted) entryValues -= entry.name else entry.value?.let { entryValues[entry.name] = it }
         if (entry.deleted) {
             val id = BackendServerId(entry.name.removePrefix(ServerDecoder.PREFIX))
@@ -62,6 +86,14 @@
         publish()
     }
 
+    override fun storeLost() {
+        storeAway = true
+    }
+
+    override fun storeRegained() {
+        storeAway = false
+    }
+
     override fun storeRecovered() = registry.storeRecovered()
 
     /** Removes entries that have not reappeared within the grace period after an outage; runs until cancelled. */
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/ConnectionPools.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/ConnectionPools.kt
@@ -8,13 +8,14 @@
 internal class ConnectionPools(
     private val loop: EventLoop,
     private val clock: TimeSource.WithComparableMarks,
+    private val inputReceived: () -> Unit,
 ) {
     // Each incarnation of a server is tracked by an object of its own, compared by identity.
     private val pools = HashMap<TrackedServer, ServerConnectionPool>()
 
     /** The connection pool for this incarnation of [server]. */
     fun of(server: TrackedServer): ServerConnectionPool =
-        pools.getOrPut(server) { ServerConnectionPool(server.registered, loop, clock) }
+        pools.getOrPut(server) { ServerConnectionPool(server.registered, loop, clock, inputReceived) }
 
     /** Closes the idle connections of a server that has ended or restarted. */
     fun retire(server: TrackedServer) {
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/ServerConnection.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/ServerConnection.kt
@@ -34,6 +34,7 @@
 internal class ServerConnection(
     private val decoder: ServerResponseDecoder,
     private val clock: TimeSource.WithComparableMarks,
+    private val inputReceived: () -> Unit,
     private val onReleased: (ServerConnection) -> Unit,
     private val onClosed: (ServerConnection) -> Unit,
 ) : ChannelInboundHandlerAdapter() {
@@ -109,6 +110,7 @@
         ctx: ChannelHandlerContext,
         message: Any,
     ) {
+        inputReceived()
         try {
             read(message as HttpObject)
         } finally {
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/ServerConnectionPool.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/ServerConnectionPool.kt
@@ -20,6 +20,7 @@
     server: RegisteredServer,
     private val loop: EventLoop,
     private val clock: TimeSource.WithComparableMarks,
+    private val inputReceived: () -> Unit,
 ) {
     private val address = server.address.substringBeforeLast(':') to server.address.substringAfterLast(':').toInt()
     private val idle = ArrayDeque<ServerConnection>()
@@ -61,7 +62,7 @@
                     object : ChannelInitializer<Channel>() {
                         override fun initChannel(channel: Channel) {
                             val decoder = ServerResponseDecoder()
-                            val created = ServerConnection(decoder, clock, ::onReleased, ::onClosed)
+                            val created = ServerConnection(decoder, clock, inputReceived, ::onReleased, ::onClosed)
                             connection = created
                             channel.pipeline().addLast(HttpRequestEncoder(), decoder, created)
                         }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/GatewayRequestHandler.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/GatewayRequestHandler.kt
@@ -23,7 +23,9 @@
 
     override val draining: Boolean get() = state.draining
 
-    override fun now(): ComparableTimeMark = state.now()
+    override fun arrivalTime(): ComparableTimeMark = state.arrivals.arrivalTime()
+
+    override fun inputReceived() = state.inputReceived()
 
     override fun opened(connection: CallerConnection) {
         connections += connection
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/TrafficState.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/TrafficState.kt
@@ -8,6 +8,7 @@
 import io.tarragonport.core.gateway.balance.PromptProfile
 import io.tarragonport.core.gateway.balance.ServerSelector
 import io.tarragonport.core.gateway.balance.ServerTable
+import io.tarragonport.core.gateway.overload.ArrivalClock
 import io.tarragonport.core.gateway.route.ActiveConfiguration
 import io.tarragonport.core.gateway.waiting.RequestQueue
 import io.tarragonport.core.retry.RetryBudget
@@ -44,14 +45,22 @@
     val serverTable = ServerTable(clock)
     val selector = ServerSelector(serverTable, settings.failureDomain)
     val prompts = PromptProfile()
-    val pools = ConnectionPools(loop, clock)
+    val pools = ConnectionPools(loop, clock, ::inputReceived)
     val queue = RequestQueue<Exchange>()
     val crashes = CrashGuard(clock)
+    val arrivals = ArrivalClock(clock)
     private var polling = false
     private val budgets = HashMap<ServiceId, RetryBudget>()
 
     fun now(): ComparableTimeMark = clock.markNow()
 
+    /** Notes that the traffic thread handles input; the round ends with the tasks that follow all input that is ready. */
+    fun inputReceived() {
+        if (arrivals.inRound) return
+        arrivals.roundStarted()
+        loop.execute(arrivals::roundEnded)
+    }
+
     fun service(id: ServiceId): GatewayService? = configuration?.services?.get(id)
 
     /** The retry budget of one service, divided evenly among the VMs. */
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/CallerConnection.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/CallerConnection.kt
@@ -70,12 +70,14 @@
     }
 
     override fun channelActive(ctx: ChannelHandlerContext) {
+        requestHandler.inputReceived()
         requestHandler.opened(this)
         startTimer(limits.idleTimeout) { closeGracefully() }
     }
 
     /** Starts the header timeout with the first bytes of a request head; later bytes do not extend it. */
     fun bytesReceived() {
+        requestHandler.inputReceived()
         if (!idle || receivingHead) return
         receivingHead = true
         startTimer(limits.headerTimeout) { refuse(ErrorKind.CALLER_TOO_SLOW) }
@@ -237,7 +239,7 @@
                         partial.request.headers(),
                         partial.body.take(),
                         metadata,
-                        requestHandler.now(),
+                        requestHandler.arrivalTime(),
                     )
                 val requestNumber = ++requestCount
                 val startedRequest = requestHandler.handle(request, this)
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/RequestHandler.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/RequestHandler.kt
@@ -9,7 +9,11 @@
     /** Whether the process is shutting down, so that connections close after their current response. */
     val draining: Boolean
 
-    fun now(): ComparableTimeMark
+    /** The earliest time at which bytes that are read now can have arrived. */
+    fun arrivalTime(): ComparableTimeMark
+
+    /** Bytes of a caller are being read. */
+    fun inputReceived()
 
     fun opened(connection: CallerConnection)
 
--- a/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/GatewayPeersTest.kt
+++ b/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/GatewayPeersTest.kt
@@ -24,6 +24,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertNull
+import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TestTimeSource
 
@@ -42,8 +43,12 @@
         val log = ControlLog { _, _ -> }
         val configurationUpdater = ConfigurationUpdater(log) { }
         var servers = emptyList<RegisteredServer>()
-        val serverListUpdater = ServerListUpdater(ServerRegistry(TestTimeSource()), log) { servers = it }
-        val peers =
+        val serverListUpdater: ServerListUpdater =
+            ServerListUpdater(ServerRegistry(TestTimeSource()), log, { peers.passOn(it) }) {
+                servers =
+                    it
+            }
+        val peers: GatewayPeers =
             GatewayPeers(
                 VmId("vm-$number"),
                 Incarnation(1),
@@ -53,6 +58,7 @@
                 configurationUpdater,
                 serverListUpdater,
                 { 500.milliseconds },
+                TestTimeSource(),
                 Random(number),
             )
 
@@ -139,4 +145,32 @@
         assertEquals(4, empty.version)
         assertEquals(emptyList(), empty.servers)
     }
+
+    /** Pattern: servers of a large fleet leave while most VMs watch the object store with a lag. */
+    @Test
+    fun `a change that few VMs have read from the object store reaches nearly all VMs`() {
+        val vms = (1..FLEET_SIZE).map { Vm(it) }
+        vms.forEach { vm -> vm.peers.updatePeers(vms.map { it.address }) }
+        vms.forEach { it.loadFromStore(4) }
+        vms.forEach { it.peers.spreadOnce() }
+        deliver()
+        vms.take(CURRENT_WATCHERS).forEach {
+            it.serverListUpdater.onChange(ObjectEntry("${ServerDecoder.PREFIX}i-1", ObjectVersion(7), deleted = true))
+        }
+        var messages = 0
+        repeat(ROUNDS) {
+            vms.forEach { it.peers.spreadOnce() }
+            messages += sentMessages.size
+            deliver()
+        }
+        val reached = vms.count { it.servers.isEmpty() }
+        assertTrue(reached >= FLEET_SIZE * 95 / 100, "$reached of $FLEET_SIZE VMs")
+        assertTrue(messages <= FLEET_SIZE * GatewayPeers.SPREAD_FANOUT, "$messages messages")
+    }
+
+    private companion object {
+        const val FLEET_SIZE = 300
+        const val CURRENT_WATCHERS = 7
+        const val ROUNDS = 10
+    }
 }
--- a/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/ObjectWatcherTest.kt
+++ b/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/ObjectWatcherTest.kt
@@ -60,8 +60,13 @@
         override fun onListing(
             objects: List<ObjectEntry>,
             afterOutage: Boolean,
+            revision: ObjectVersion,
         ) = Unit
 
+        override fun storeLost() = Unit
+
+        override fun storeRegained() = Unit
+
         override fun onChange(entry: ObjectEntry) = Unit
 
         override fun storeRecovered() = Unit
