Start a request only if its caller has not closed the connection by then

Cause: after a restart of all VMs, a cold gateway reads a request and its caller's close at the same time; callers leave if a request is not read in a third of their time. Change: the caller's connection is read until nothing is left, and a complete request is handled after that; all waiting connections are accepted in one round. Ruled out: the deadline (the request had 1.5 s left), two rounds of the loop (ArrivalClock was in place).

--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/CallerConnection.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/CallerConnection.kt
@@ -51,6 +51,10 @@
     private val queued = ArrayDeque<HttpObject>()
     private var queuedBytes = 0L
     private var partialRequest: PartialRequest? = null
+
+    /** A complete request that is handled once everything that has arrived is read, including the caller's close. */
+    private var completeRequest: PartialRequest? = null
+    private var reading = false
     private var inFlightRequest: InFlightRequest? = null
     private var handlingRequest = false
     private var keepAlive = true
@@ -87,6 +91,7 @@
         ctx: ChannelHandlerContext,
         message: Any,
     ) {
+        reading = true
         if (message !is HttpObject || closing) {
             ReferenceCountUtil.release(message)
         } else if (handlingRequest) {
@@ -96,8 +101,17 @@
         }
     }
 
+    override fun channelReadComplete(ctx: ChannelHandlerContext) {
+        reading = false
+        val complete = completeRequest ?: return
+        completeRequest = null
+        handle(complete)
+    }
+
     override fun channelInactive(ctx: ChannelHandlerContext) {
         stopTimer()
+        completeRequest?.body?.release()
+        completeRequest = null
         closing = true
         handlingRequest = false
         inFlightRequest?.callerDisconnected()
@@ -227,10 +241,14 @@
     private fun complete(partial: PartialRequest) {
         stopTimer()
         partialRequest = null
+        handlingRequest = true
+        if (reading) completeRequest = partial else handle(partial)
+    }
+
+    private fun handle(partial: PartialRequest) {
         RequestHeaders.decode { partial.request.headers().getAll(it) }.fold(
             { refuse(ErrorKind.INVALID_REQUEST) },
             { metadata ->
-                handlingRequest = true
                 val request =
                     CallerRequest(
                         partial.request.method(),
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/FrontendServer.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/FrontendServer.kt
@@ -1,10 +1,12 @@
 package io.tarragonport.daemon.gateway.ingress
 
 import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
+import io.netty.channel.ServerChannelRecvByteBufAllocator
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.tarragonport.api.gateway.CallerLimits
 import java.net.InetSocketAddress
@@ -25,8 +27,16 @@
                 .channel(NioServerSocketChannel::class.java)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(
+                // Accepts all waiting connections in one round, so that none waits for longer than ArrivalClock assumes.
+                .option(
+                    ChannelOption.RECVBUF_ALLOCATOR,
+                    ServerChannelRecvByteBufAllocator().maxMessagesPerRead(BACKLOG),
+                ).childOption(ChannelOption.TCP_NODELAY, true)
+                // Reads until nothing is left, so that a caller's close is seen together with its last bytes.
+                .childOption(
+                    ChannelOption.RECVBUF_ALLOCATOR,
+                    AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false),
+                ).childHandler(
                     object : ChannelInitializer<Channel>() {
                         override fun initChannel(channel: Channel) = configurePipeline(channel)
                     },
