--- a/tarragonport-standins/src/main/kotlin/io/tarragonport/tool/cost/GatewayCostMain.kt
+++ b/tarragonport-standins/src/main/kotlin/io/tarragonport/tool/cost/GatewayCostMain.kt
@@ -19,8 +19,8 @@
  * Measures the processor time of one gateway process in a large fleet: for its start, for each idle second, and for
  * each request while the process is cold and once it is warm.
  *
- * The gateway is started by `bin/gateway-cost`. The time of a request is that of a batch less the idle time, divided by
- * the number of requests; four in five are streams.
+ * The gateway is started by `bin/gateway-cost`. The time of a request is that of the traffic thread during a batch,
+ * divided by the number of requests; four in five are streams.
  */
 class GatewayCostMain {
     @Option(name = "--pid", required = true, usage = "process id of the gateway")
@@ -68,7 +68,7 @@
             Thread.sleep(TimeUnit.SECONDS.toMillis(idleSeconds.toLong()))
             val idlePerSecond = (statistics.cpuSeconds() - idleStart) / idleSeconds
             report("idle", idlePerSecond, "ms a second")
-            repeat(batches) { batch -> measureBatch(batch, statistics, idlePerSecond) }
+            repeat(batches) { batch -> measureBatch(batch, statistics) }
             println("${"resident memory".padEnd(LABEL_WIDTH)} ${"%.1f".format(statistics.residentMb())} MB")
         }
         return 0
@@ -77,18 +77,15 @@
     private fun measureBatch(
         batch: Int,
         statistics: ProcessStatistics,
-        idlePerSecond: Double,
     ) {
-        val started = System.nanoTime()
-        val before = statistics.cpuSeconds()
+        val before = statistics.cpuSeconds(TRAFFIC_THREAD)
         val responses =
             List(BATCH_SIZE) { index ->
                 Thread.sleep(TimeUnit.SECONDS.toMillis(1) / rate)
                 send(batch * BATCH_SIZE + index)
             }
         val failed = responses.count { it.join() != HTTP_OK }
-        val seconds = (System.nanoTime() - started) / NANOS_PER_SECOND
-        val used = statistics.cpuSeconds() - before - idlePerSecond * seconds
+        val used = statistics.cpuSeconds(TRAFFIC_THREAD) - before
         report("requests ${batch * BATCH_SIZE + 1} to ${(batch + 1) * BATCH_SIZE}", used / BATCH_SIZE, "ms a request")
         if (failed > 0) println("  $failed of them failed")
     }
@@ -148,7 +145,7 @@
         private const val READY_POLL_MS = 20L
         private const val LABEL_WIDTH = 24
         private const val MS_PER_SECOND = 1000.0
-        private const val NANOS_PER_SECOND = 1e9
+        private const val TRAFFIC_THREAD = "traffic"
         private val READY_TIMEOUT: Duration = Duration.ofSeconds(30)
 
         init {
--- a/tarragonport-standins/src/main/kotlin/io/tarragonport/tool/load/ProcessStatistics.kt
+++ b/tarragonport-standins/src/main/kotlin/io/tarragonport/tool/load/ProcessStatistics.kt
@@ -15,8 +15,18 @@
             .toDouble() / KILOBYTES_PER_MB
 
     /** CPU time used so far in seconds. */
-    fun cpuSeconds(): Double {
-        val fields = File("/proc/$pid/stat").readText().substringAfterLast(") ").split(' ')
+    fun cpuSeconds(): Double = cpuSeconds(File("/proc/$pid/stat"))
+
+    /** CPU time used so far by the threads whose names start with [name], in seconds. */
+    fun cpuSeconds(name: String): Double =
+        File("/proc/$pid/task")
+            .listFiles()
+            .orEmpty()
+            .filter { File(it, "comm").readText().startsWith(name) }
+            .sumOf { cpuSeconds(File(it, "stat")) }
+
+    private fun cpuSeconds(statistics: File): Double {
+        val fields = statistics.readText().substringAfterLast(") ").split(' ')
         return (fields[USER_TICKS_FIELD].toLong() + fields[SYSTEM_TICKS_FIELD].toLong()) / TICKS_PER_SECOND
     }
 
