Handle a complete request after its caller's close would have been reported

Change: a complete request is handled by a task after the round. CallerConnectionTest now plays the real order of events and failed before the change.

--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/CallerConnection.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/CallerConnection.kt
@@ -103,6 +103,11 @@
 
     override fun channelReadComplete(ctx: ChannelHandlerContext) {
         reading = false
+        // The close of the connection is reported after this call, so the request is handled by a later task.
+        if (completeRequest != null) ctx.executor().execute(::handleCompleteRequest)
+    }
+
+    private fun handleCompleteRequest() {
         val complete = completeRequest ?: return
         completeRequest = null
         handle(complete)
--- a/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/CallerConnectionTest.kt
+++ b/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/CallerConnectionTest.kt
@@ -78,8 +78,12 @@
             val encoder = CallerResponseEncoder()
             val channel =
                 EmbeddedChannel(StrictRequestDecoder(limits), encoder, CallerConnection(limits, encoder, handler))
+            // An embedded channel runs waiting tasks with each read of its own.
+            channel.config().isAutoRead = false
             case.pieces.forEach { channel.pipeline().fireChannelRead(Unpooled.copiedBuffer(it, Charsets.UTF_8)) }
-            if (case.closed) channel.close() else channel.pipeline().fireChannelReadComplete()
+            // The order in which a socket channel reports what it has read and that its peer has closed it.
+            channel.pipeline().fireChannelReadComplete()
+            if (case.closed) channel.pipeline().fireChannelInactive()
             channel.runPendingTasks()
             assertEquals(case.handled, handler.handled, case.title)
             channel.finishAndReleaseAll()
