Release the peer address before the transport ends

A closed socket is released only by the next round of the selector it was registered with, so the close of the channel is not the release of its address. Change: the transport ends after one more round, and waits for the end of its own thread.

--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/GatewayPeers.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/GatewayPeers.kt
@@ -45,6 +45,9 @@
     private val changeSignal = Channel<Unit>(Channel.CONFLATED)
     private var requested: RequestedVersion? = null
 
+    /** Version of the configuration that was announced with the last round of [spreadChanges]. */
+    private var announcedVersion = ConfigurationVersion(NO_VERSION)
+
     private class RequestedVersion(
         val version: ConfigurationVersion,
         val requestedAt: ComparableTimeMark,
@@ -101,8 +104,6 @@
         }
     }
 
-    private var announcedVersion = ConfigurationVersion(NO_VERSION)
-
     private fun sendToRandom(
         count: Int,
         message: PeerMessage,
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/peer/SocketPeerTransport.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/peer/SocketPeerTransport.kt
@@ -76,8 +76,11 @@
                 awaitCancellation()
             }
         } finally {
-            withContext(NonCancellable) { closeAll() }
-            ownGroup?.shutdownGracefully(0, SHUTDOWN_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+            withContext(NonCancellable) {
+                closeAll()
+                val shutdown = ownGroup?.shutdownGracefully(0, SHUTDOWN_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+                shutdown?.let { future -> await(future) { } }
+            }
         }
     }
 
@@ -91,16 +94,16 @@
 
     private fun link(address: String): PeerLink = links.getOrPut(address) { PeerLink { connect(address) } }
 
-    private suspend fun closeAll() {
-        val closed =
-            suspendCancellableCoroutine<Unit> { continuation ->
-                loop.execute {
-                    running = null
-                    channels.close().addListener { continuation.resume(Unit) }
+    /** Closes all sockets. A socket is released only by the next round of the selector that it was registered with. */
+    private suspend fun closeAll() =
+        suspendCancellableCoroutine { continuation ->
+            loop.execute {
+                running = null
+                channels.close().addListener {
+                    loop.schedule({ continuation.resume(Unit) }, SELECTOR_ROUND_MS, TimeUnit.MILLISECONDS)
                 }
             }
-        return closed
-    }
+        }
 
     private fun listen() =
         ServerBootstrap()
@@ -235,5 +238,8 @@
         /** A connection is closed after this time without a message to send. */
         val IDLE_TIMEOUT: Duration = 10.minutes
         private const val SHUTDOWN_TIMEOUT_MS = 200L
+
+        /** A task with any delay runs after the selector's next round. */
+        private const val SELECTOR_ROUND_MS = 1L
     }
 }
