Stop accepting connections a fixed time after the stop signal again

Since a stopping gateway accepted connections until no request ran; callers that keep connecting, as the soak's do, never let that happen, so requests accepted just before the end were cut (log: draining at 21.67 s, three streams sent at 26.65 to 26.82 s, stopped at 26.91 s). Ruled out: a fault of the new transport or of the order of handling.

--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/Gateway.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/Gateway.kt
@@ -71,22 +71,19 @@
     /**
      * Shuts down gracefully. The process first reports that it is not ready and keeps accepting connections, because
      * the platform removes it only after two such responses. It then closes idle connections and waits for requests in
-     * flight to complete; connections are accepted until then, because closing the listening socket resets those that
-     * wait to be accepted.
+     * flight to complete.
      */
     suspend fun stop() {
         log.logEvent(GatewayEvents.GATEWAY_DRAINING, "seconds" to activeSettings.stopSeconds)
         val shutdownTime = activeSettings.stopSeconds.seconds - STOP_RESERVE
         loop.execute { state.draining = true }
         delay(minOf(ACCEPT_AFTER_STOP_SIGNAL, shutdownTime / 2))
-        loop.execute { requestHandler.closeConnections() }
+        loop.execute {
+            frontend.stop()
+            requestHandler.closeConnections()
+        }
         val finished =
-            withTimeoutOrNull(shutdownTime - minOf(ACCEPT_AFTER_STOP_SIGNAL, shutdownTime / 2)) {
-                awaitRequests()
-                // Requests accepted until now are served as well.
-                loop.execute { frontend.stop() }
-                awaitRequests()
-            }
+            withTimeoutOrNull(shutdownTime - minOf(ACCEPT_AFTER_STOP_SIGNAL, shutdownTime / 2)) { awaitRequests() }
         control.stop()
         log.logEvent(GatewayEvents.GATEWAY_STOPPED, "complete" to (finished != null))
     }
