Log connections closed at a stop, and bytes that arrive on a connection being closed

Change: event 3008 states how many connections were closed as idle after the stop signal and how many have a request; event 3007 reports bytes that arrive on a connection after the decision to close it, once for each connection, with the reason and the time since. No change of behaviour.

--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/GatewayEvents.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/GatewayEvents.kt
@@ -16,6 +16,18 @@
             "an attempt ended without a usable response; carries whether it is retried",
         )
     val CALLER_CONNECTION_FAILED = LogEvent(3006, "caller_connection_failed", "the connection to a caller failed")
+    val INPUT_DISCARDED =
+        LogEvent(
+            3007,
+            "caller_input_discarded",
+            "bytes arrived on a connection that the process was closing; carries the reason of the close",
+        )
+    val CONNECTIONS_CLOSED =
+        LogEvent(
+            3008,
+            "caller_connections_closed",
+            "idle connections were closed after the stop signal; carries their number and that of those in use",
+        )
     val CONFIGURATION_APPLIED = LogEvent(3010, "gateway_configuration_applied", "a configuration was applied")
     val CONFIGURATION_REJECTED =
         LogEvent(3011, "gateway_configuration_rejected", "a configuration could not be decoded; the active one is kept")
@@ -65,6 +77,8 @@
             SENT,
             ATTEMPT_FAILED,
             CALLER_CONNECTION_FAILED,
+            INPUT_DISCARDED,
+            CONNECTIONS_CLOSED,
             CONFIGURATION_APPLIED,
             CONFIGURATION_REJECTED,
             SERVER_ADDED,
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/GatewayRequestHandler.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/GatewayRequestHandler.kt
@@ -9,6 +9,7 @@
 import io.tarragonport.daemon.gateway.ingress.CallerChannel
 import io.tarragonport.daemon.gateway.ingress.CallerConnection
 import io.tarragonport.daemon.gateway.ingress.CallerRequest
+import io.tarragonport.daemon.gateway.ingress.CloseReason
 import io.tarragonport.daemon.gateway.ingress.InFlightRequest
 import io.tarragonport.daemon.gateway.ingress.RequestHandler
 import kotlin.time.ComparableTimeMark
@@ -54,10 +55,20 @@
         request: HttpRequest?,
     ) = state.log.malformed(kind, request?.method()?.name(), request?.uri())
 
+    override fun inputDiscarded(
+        reason: CloseReason,
+        sinceClosing: Duration,
+    ) = state.log.inputDiscarded(reason, sinceClosing)
+
     override fun connectionFailed(cause: Throwable) = state.log.connectionFailed(cause)
 
     /** Closes idle connections now and the others after their current response. */
-    fun closeConnections() = connections.toList().forEach { it.closeWhenIdle() }
+    fun closeConnections() {
+        val idle = connections.count { it.idle }
+        val inUse = connections.size - idle
+        connections.toList().forEach { it.closeWhenIdle() }
+        state.log.connectionsClosed(idle, inUse)
+    }
 
     /** Whether any caller connection is not idle: it has a request to receive or answer, or is closing. */
     val busy: Boolean get() = connections.any { !it.idle }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/InstrumentedRequestLog.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/InstrumentedRequestLog.kt
@@ -4,6 +4,8 @@
 import io.tarragonport.api.error.ErrorKind
 import io.tarragonport.api.event.LogEvent
 import io.tarragonport.daemon.gateway.ingress.CallerRequest
+import io.tarragonport.daemon.gateway.ingress.CloseReason
+import kotlin.time.Duration
 import kotlin.time.TimeSource
 
 private val logger = KotlinLogging.logger {}
@@ -45,6 +47,20 @@
         "target" to target?.take(MAXIMUM_TARGET_LENGTH),
     )
 
+    override fun connectionsClosed(
+        idle: Int,
+        inUse: Int,
+    ) = logEvent(GatewayEvents.CONNECTIONS_CLOSED, "idle" to idle, "in_use" to inUse)
+
+    override fun inputDiscarded(
+        reason: CloseReason,
+        sinceClosing: Duration,
+    ) = logEvent(
+        GatewayEvents.INPUT_DISCARDED,
+        "reason" to reason,
+        "ms_since_closing" to sinceClosing.inWholeMilliseconds,
+    )
+
     override fun connectionFailed(cause: Throwable) =
         logEvent(GatewayEvents.CALLER_CONNECTION_FAILED, "reason" to cause.message)
 
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/RequestLog.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/RequestLog.kt
@@ -3,6 +3,8 @@
 import io.tarragonport.api.error.ErrorKind
 import io.tarragonport.api.event.LogEvent
 import io.tarragonport.daemon.gateway.ingress.CallerRequest
+import io.tarragonport.daemon.gateway.ingress.CloseReason
+import kotlin.time.Duration
 
 /** Logs each decision on a request and counts its outcome. */
 internal interface RequestLog {
@@ -29,6 +31,18 @@
         target: String?,
     )
 
+    /** Logs that [idle] connections were closed after the stop signal and that [inUse] others have a request. */
+    fun connectionsClosed(
+        idle: Int,
+        inUse: Int,
+    )
+
+    /** Logs that bytes of a caller were discarded because its connection was being closed for [reason]. */
+    fun inputDiscarded(
+        reason: CloseReason,
+        sinceClosing: Duration,
+    )
+
     /** Logs that the connection to a caller failed. */
     fun connectionFailed(cause: Throwable)
 }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/CallerConnection.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/CallerConnection.kt
@@ -60,6 +60,10 @@
     private var keepAlive = true
     private var chunkedAllowed = true
     private var closing = false
+    private var refused = false
+
+    /** Null before the decision, and once it has been reported that input was discarded after it. */
+    private var closeDecision: CloseDecision? = null
     private var receivingHead = false
     private var requestCount = 0L
     private var timer: ScheduledFuture<*>? = null
@@ -76,7 +80,7 @@
     override fun channelActive(ctx: ChannelHandlerContext) {
         requestHandler.inputReceived()
         requestHandler.opened(this)
-        startTimer(limits.idleTimeout) { closeGracefully() }
+        startTimer(limits.idleTimeout) { closeGracefully(CloseReason.IDLE) }
     }
 
     /** Starts the header timeout with the first bytes of a request head; later bytes do not extend it. */
@@ -94,6 +98,7 @@
         reading = true
         if (message !is HttpObject || closing) {
             ReferenceCountUtil.release(message)
+            reportDiscardedInput()
         } else if (handlingRequest) {
             queue(message)
         } else {
@@ -107,6 +112,12 @@
         if (completeRequest != null) ctx.executor().execute(::handleCompleteRequest)
     }
 
+    private fun reportDiscardedInput() {
+        val decision = closeDecision ?: return
+        closeDecision = null
+        requestHandler.inputDiscarded(decision.reason, requestHandler.arrivalTime() - decision.time)
+    }
+
     private fun handleCompleteRequest() {
         val complete = completeRequest ?: return
         completeRequest = null
@@ -143,7 +154,7 @@
     /** Closes the connection now if it is idle, otherwise after the current response. */
     fun closeWhenIdle() {
         keepAlive = false
-        if (idle) closeGracefully()
+        if (idle) closeGracefully(CloseReason.IDLE)
     }
 
     override fun respond(
@@ -281,8 +292,8 @@
         context.flush()
         inFlightRequest = null
         handlingRequest = false
-        if (!keepAlive) return closeGracefully()
-        startTimer(limits.idleTimeout) { closeGracefully() }
+        if (!keepAlive) return closeGracefully(CloseReason.RESPONSE_COMPLETE)
+        startTimer(limits.idleTimeout) { closeGracefully(CloseReason.IDLE) }
         while (!handlingRequest && !closing && queued.isNotEmpty()) {
             val next = queued.poll()
             if (next is HttpContent) queuedBytes -= next.content().readableBytes()
@@ -297,13 +308,16 @@
         partialRequest?.body?.release()
         partialRequest = null
         keepAlive = false
+        refused = true
         val errorResponse = ErrorResponse.of(kind, ExecutionStatus.NO, null, null)
         respond(errorResponse.status, errorResponse.headers, errorResponse.body)
     }
 
-    private fun closeGracefully() {
+    private fun closeGracefully(reason: CloseReason) {
         stopTimer()
         closing = true
+        // After a refusal, the rest of the refused request is expected.
+        if (!refused) closeDecision = CloseDecision(reason, requestHandler.arrivalTime())
         queued.forEach(ReferenceCountUtil::release)
         queued.clear()
         val channel = context.channel() as SocketChannel
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/RequestHandler.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/RequestHandler.kt
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpRequest
 import io.tarragonport.api.error.ErrorKind
 import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
 
 /** Handles the requests of caller connections; all calls come from the traffic thread. */
 internal interface RequestHandler {
@@ -31,6 +32,12 @@
         request: HttpRequest?,
     )
 
+    /** Bytes arrived on a connection [sinceClosing] after this process had decided to close it. */
+    fun inputDiscarded(
+        reason: CloseReason,
+        sinceClosing: Duration,
+    )
+
     /** A caller connection failed. */
     fun connectionFailed(cause: Throwable)
 }
--- a/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/CallerConnectionTest.kt
+++ b/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/CallerConnectionTest.kt
@@ -9,12 +9,14 @@
 import io.tarragonport.daemon.gateway.ingress.CallerConnection
 import io.tarragonport.daemon.gateway.ingress.CallerRequest
 import io.tarragonport.daemon.gateway.ingress.CallerResponseEncoder
+import io.tarragonport.daemon.gateway.ingress.CloseReason
 import io.tarragonport.daemon.gateway.ingress.InFlightRequest
 import io.tarragonport.daemon.gateway.ingress.RequestHandler
 import io.tarragonport.daemon.gateway.ingress.StrictRequestDecoder
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TestTimeSource
 
@@ -54,6 +56,11 @@
             request: HttpRequest?,
         ) = Unit
 
+        override fun inputDiscarded(
+            reason: CloseReason,
+            sinceClosing: Duration,
+        ) = Unit
+
         override fun connectionFailed(cause: Throwable) = Unit
     }
 
