Read what has arrived before a caller's connection is closed as idle

Cause: whether a connection is idle was decided from what had been decoded. The event loop polls once a round, and on a busy VM of a third of a core a round lasts hundreds of milliseconds; a task of that round that closes idle connections, or the end of an idle or header timeout, closed connections whose request had arrived. The request was then read and discarded. A new connection is accepted and closed in the same round. Change: the channel is read until nothing is left right before it is closed as idle or its caller is refused as too slow; connections that wait are accepted before the listening socket is closed; the start of a head counts as a request; a request that arrives after the decision stays unread, so that its caller may send it again. A response that did not announce the close is followed by the requests that were pipelined behind it. Why it works: between the last read and the close no other input is handled, so only a request that crosses the close can still meet it.

--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/GatewayRequestHandler.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/GatewayRequestHandler.kt
@@ -64,10 +64,8 @@
 
     /** Closes idle connections now and the others after their current response. */
     fun closeConnections() {
-        val idle = connections.count { it.idle }
-        val inUse = connections.size - idle
-        connections.toList().forEach { it.closeWhenIdle() }
-        state.log.connectionsClosed(idle, inUse)
+        val (closed, inUse) = connections.toList().partition { it.closeWhenIdle() }
+        state.log.connectionsClosed(closed.size, inUse.size)
     }
 
     /** Whether any caller connection is not idle: it has a request to receive or answer, or is closing. */
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/CallerConnection.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/CallerConnection.kt
@@ -58,6 +58,9 @@
     private var inFlightRequest: InFlightRequest? = null
     private var handlingRequest = false
     private var keepAlive = true
+
+    /** Whether the current response tells the caller that the connection is closed after it. */
+    private var closeAnnounced = false
     private var chunkedAllowed = true
     private var closing = false
     private var refused = false
@@ -71,7 +74,8 @@
     override val writable: Boolean get() = context.channel().isWritable
 
     /** Whether no request is being handled, received or queued and the connection is not closing. */
-    val idle: Boolean get() = !handlingRequest && partialRequest == null && queued.isEmpty() && !closing
+    val idle: Boolean
+        get() = !handlingRequest && !receivingHead && partialRequest == null && queued.isEmpty() && !closing
 
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         context = ctx
@@ -80,13 +84,13 @@
     override fun channelActive(ctx: ChannelHandlerContext) {
         requestHandler.inputReceived()
         requestHandler.opened(this)
-        startTimer(limits.idleTimeout) { closeGracefully(CloseReason.IDLE) }
+        startTimer(limits.idleTimeout, ::closeIdle)
     }
 
     /** Starts the header timeout with the first bytes of a request head; later bytes do not extend it. */
     fun bytesReceived() {
         requestHandler.inputReceived()
-        if (!idle || receivingHead) return
+        if (!idle) return
         receivingHead = true
         startTimer(limits.headerTimeout) { refuse(ErrorKind.CALLER_TOO_SLOW) }
     }
@@ -151,10 +155,17 @@
         ctx.close()
     }
 
-    /** Closes the connection now if it is idle, otherwise after the current response. */
-    fun closeWhenIdle() {
+    /**
+     * Closes the connection now if it is idle, otherwise after the current response. Returns whether it is being closed
+     * now.
+     */
+    fun closeWhenIdle(): Boolean {
         keepAlive = false
-        if (idle) closeGracefully(CloseReason.IDLE)
+        if (!idle) return false
+        context.channel().readAvailable()
+        if (!idle) return closing
+        closeIdle()
+        return true
     }
 
     override fun respond(
@@ -284,22 +295,25 @@
     }
 
     private fun setConnection(response: HttpResponse) {
-        keepAlive = keepAlive && !requestHandler.draining
-        if (!keepAlive) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        // The response to the last pipelined request announces the close, so that all of them are answered.
+        if (requestHandler.draining && queued.isEmpty()) keepAlive = false
+        closeAnnounced = !keepAlive
+        if (closeAnnounced) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
     }
 
     private fun responseSent() {
         context.flush()
         inFlightRequest = null
         handlingRequest = false
-        if (!keepAlive) return closeGracefully(CloseReason.RESPONSE_COMPLETE)
-        startTimer(limits.idleTimeout) { closeGracefully(CloseReason.IDLE) }
+        if (closeAnnounced) return closeGracefully(CloseReason.RESPONSE_COMPLETE)
+        startTimer(limits.idleTimeout, ::closeIdle)
         while (!handlingRequest && !closing && queued.isNotEmpty()) {
             val next = queued.poll()
             if (next is HttpContent) queuedBytes -= next.content().readableBytes()
             process(next)
         }
         if (queued.isEmpty() && !closing) context.channel().config().isAutoRead = true
+        if (!keepAlive && !handlingRequest) closeWhenIdle()
     }
 
     private fun refuse(kind: ErrorKind) {
@@ -313,6 +327,12 @@
         respond(errorResponse.status, errorResponse.headers, errorResponse.body)
     }
 
+    /** A request that arrives from now on stays unread, so that its caller may send it again. */
+    private fun closeIdle() {
+        closeGracefully(CloseReason.IDLE)
+        context.channel().config().isAutoRead = false
+    }
+
     private fun closeGracefully(reason: CloseReason) {
         stopTimer()
         closing = true
@@ -330,12 +350,19 @@
         channel.config().isAutoRead = true
     }
 
+    /** Runs [action] after [duration] unless input that has arrived by then, read or not, makes it obsolete. */
     private fun startTimer(
         duration: Duration,
         action: () -> Unit,
     ) {
         stopTimer()
-        timer = context.executor().schedule(action, duration.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        timer = context.executor().schedule({ timedOut(action) }, duration.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+    }
+
+    private fun timedOut(action: () -> Unit) {
+        timer = null
+        context.channel().readAvailable()
+        if (timer == null && !handlingRequest && !closing) action()
     }
 
     private fun stopTimer() {
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/FrontendServer.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/FrontendServer.kt
@@ -46,8 +46,9 @@
         listeningChannel = bootstrap.bind(InetSocketAddress(host, port)).sync().channel()
     }
 
-    /** Stops accepting connections. */
+    /** Stops accepting connections after those that wait, because closing the socket would reset them. */
     fun stop() {
+        listeningChannel?.readAvailable()
         listeningChannel?.close()
     }
 
