Read what has arrived before a kept server connection is used again

Change: the pool reads a kept connection until nothing is left before it hands it out; a close, a reset or bytes that belong to no request make it unusable.

--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/AvailableInput.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/AvailableInput.kt
@@ -1,4 +1,4 @@
-package io.tarragonport.daemon.gateway.ingress
+package io.tarragonport.daemon.gateway
 
 import io.netty.channel.Channel
 import io.netty.channel.nio.AbstractNioChannel
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/ServerConnection.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/ServerConnection.kt
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import io.tarragonport.api.id.RequestId
+import io.tarragonport.daemon.gateway.readAvailable
 import io.tarragonport.wire.ServerResponseHeaders
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
@@ -94,6 +95,9 @@
         }
     }
 
+    /** Reads what the server has sent on an idle connection, or its close, before the connection is used again. */
+    fun readAvailable() = channel.readAvailable()
+
     /** Cancels the request in flight by closing the connection, upon which the server stops processing it. */
     fun cancel() {
         listener = null
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/ServerConnectionPool.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/ServerConnectionPool.kt
@@ -37,6 +37,7 @@
     fun acquire(use: (ServerConnection?) -> Unit) {
         while (idle.isNotEmpty()) {
             val connection = idle.removeLast()
+            connection.readAvailable()
             if (connection.usable) return use(connection)
             connection.cancel()
         }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/CallerConnection.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/CallerConnection.kt
@@ -27,6 +27,7 @@
 import io.tarragonport.api.error.ExecutionStatus
 import io.tarragonport.api.gateway.CallerLimits
 import io.tarragonport.daemon.gateway.exchange.ErrorResponse
+import io.tarragonport.daemon.gateway.readAvailable
 import io.tarragonport.wire.RequestHeaders
 import java.util.ArrayDeque
 import java.util.concurrent.TimeUnit
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/FrontendServer.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/FrontendServer.kt
@@ -9,6 +9,7 @@
 import io.netty.channel.ServerChannelRecvByteBufAllocator
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.tarragonport.api.gateway.CallerLimits
+import io.tarragonport.daemon.gateway.readAvailable
 import java.net.InetSocketAddress
 
 /** Accepts caller connections on the traffic thread. */
