--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/FrontendServer.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/FrontendServer.kt
@@ -36,7 +36,7 @@
                 // Reads until nothing is left, so that a caller's close is seen together with its last bytes.
                 .childOption(
                     ChannelOption.RECVBUF_ALLOCATOR,
-                    AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false),
+                    AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(BUFFERS_PER_READ),
                 ).childHandler(
                     object : ChannelInitializer<Channel>() {
                         override fun initChannel(channel: Channel) = configurePipeline(channel)
@@ -68,5 +68,8 @@
     private companion object {
         /** Queue length for connections not yet accepted: one second of new connections in a burst. */
         const val BACKLOG = 1024
+
+        /** Buffers grow up to 64 KB, so this is more than a connection can have queued. */
+        const val BUFFERS_PER_READ = 64
     }
 }
--- a/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/UnreadRequestTest.kt
+++ b/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/UnreadRequestTest.kt
@@ -99,6 +99,7 @@
             Case("start of a head, stop", HEAD + BODY, START_OF_HEAD, REST_OF_HEAD + BODY, stops = true, busyMs = 20),
             Case("head without its body, stop", HEAD + BODY, HEAD, BODY, stops = true, busyMs = 20),
             Case("kept connection, end of the idle timeout", HEAD + BODY, HEAD + BODY),
+            Case("rest of a long head, end of the header timeout", START_OF_HEAD, LONG_REST_OF_HEAD + BODY),
             Case("rest of a head, end of the header timeout", START_OF_HEAD, REST_OF_HEAD + BODY),
             Case("body, end of the header timeout", HEAD, BODY),
         )
@@ -173,6 +174,7 @@
         const val OK = 200
         const val START_OF_HEAD = "POST /a HTTP/1.1\r\nHo"
         const val REST_OF_HEAD = "st: calls.example\r\nContent-Length: 4\r\n\r\n"
+        val LONG_REST_OF_HEAD = REST_OF_HEAD.replace("Content", "Padding: ${"x".repeat(6_000)}\r\nContent")
         const val HEAD = START_OF_HEAD + REST_OF_HEAD
         const val BODY = "body"
         const val LONGER_THAN_LIMITS_MS = 400L
