Answer requests that arrived behind a running one before the connection is closed

Cause: the close after the stop signal was announced although another request had been read, or waited unread; it was then discarded. Change: the decision to stop is kept apart from what a request or the protocol demands; a close is announced only with the response behind which nothing has arrived.

--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/CallerConnection.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/CallerConnection.kt
@@ -60,6 +60,9 @@
     private var handlingRequest = false
     private var keepAlive = true
 
+    /** Whether the connection is to be closed as soon as every request that has arrived on it is answered. */
+    private var stopping = false
+
     /** Whether the current response tells the caller that the connection is closed after it. */
     private var closeAnnounced = false
     private var chunkedAllowed = true
@@ -157,11 +160,11 @@
     }
 
     /**
-     * Closes the connection now if it is idle, otherwise after the current response. Returns whether it is being closed
-     * now.
+     * Closes the connection now if it is idle, otherwise once all requests that have arrived are answered. Returns
+     * whether it is being closed now.
      */
     fun closeWhenIdle(): Boolean {
-        keepAlive = false
+        stopping = true
         if (!idle) return false
         context.channel().readAvailable()
         if (!idle) return closing
@@ -296,12 +299,16 @@
     }
 
     private fun setConnection(response: HttpResponse) {
-        // The response to the last pipelined request announces the close, so that all of them are answered.
-        if (requestHandler.draining && queued.isEmpty()) keepAlive = false
-        closeAnnounced = !keepAlive
+        closeAnnounced = !keepAlive || ((stopping || requestHandler.draining) && !pipelined())
         if (closeAnnounced) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
     }
 
+    /** Whether another request has arrived behind the current one. */
+    private fun pipelined(): Boolean {
+        if (queued.isEmpty()) context.channel().readAvailable()
+        return queued.isNotEmpty()
+    }
+
     private fun responseSent() {
         context.flush()
         inFlightRequest = null
@@ -314,7 +321,7 @@
             process(next)
         }
         if (queued.isEmpty() && !closing) context.channel().config().isAutoRead = true
-        if (!keepAlive && !handlingRequest) closeWhenIdle()
+        if (stopping) closeWhenIdle()
     }
 
     private fun refuse(kind: ErrorKind) {
--- a/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/UnreadRequestTest.kt
+++ b/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/UnreadRequestTest.kt
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.AfterEach
 import java.io.IOException
 import java.net.Socket
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import kotlin.test.Test
@@ -30,11 +31,12 @@
 
 /** Guards against requests that a busy process loses in a restart, because it closes their connection before it reads them. */
 class UnreadRequestTest {
-    /** Answers each request with 200 and runs [inputRound] once, in the round in which the next connection is opened. */
+    /** Answers each request with 200, after [held] if that is set, and runs [inputRound] once, in the round in which the next connection is opened. */
     private class AnsweringHandler : RequestHandler {
         val connections = mutableSetOf<CallerConnection>()
         var inputRound: (() -> Unit)? = null
-        override val draining = false
+        var held: CompletableFuture<Unit>? = null
+        override var draining = false
 
         override fun arrivalTime(): ComparableTimeMark = TimeSource.Monotonic.markNow()
 
@@ -54,7 +56,8 @@
             caller: CallerChannel,
         ): InFlightRequest {
             request.body.release()
-            caller.respond(OK, EmptyHttpHeaders.INSTANCE, Unpooled.EMPTY_BUFFER)
+            val respond = { caller.respond(OK, EmptyHttpHeaders.INSTANCE, Unpooled.EMPTY_BUFFER) }
+            held?.thenRun(respond) ?: respond()
             return object : InFlightRequest {
                 override fun callerDisconnected() = Unit
 
@@ -111,10 +114,53 @@
 
     @Test
     fun `a request that arrived before its connection is closed is answered`() {
-        val failed = cases.filter { play(it) != "HTTP/1.1 200 OK" }.map { it.title }
+        val failed = cases.filter { play(it) != OK_LINE }.map { it.title }
         assertEquals(emptyList(), failed)
     }
 
+    private class PipelinedCase(
+        val title: String,
+        val draining: Boolean,
+        val whileHandled: String,
+        val unread: String,
+    )
+
+    @Test
+    fun `requests that arrived behind a running one before the connection is closed are answered`() {
+        val request = HEAD + BODY
+        val cases =
+            listOf(
+                PipelinedCase("read before the response, idle connections closed", draining = false, request, ""),
+                PipelinedCase("unread before the response, idle connections closed", draining = false, "", request),
+                PipelinedCase("read before the response, after the stop signal", draining = true, request, ""),
+                PipelinedCase("unread before the response, after the stop signal", draining = true, "", request),
+            )
+        val failed = cases.filter { playPipelined(it) != listOf(OK_LINE, OK_LINE, null) }.map { it.title }
+        assertEquals(emptyList(), failed)
+    }
+
+    /** The status lines of all responses that the caller gets until the connection is closed. */
+    private fun playPipelined(case: PipelinedCase): List<String?> {
+        val handler = AnsweringHandler()
+        val held = CompletableFuture<Unit>().also { handler.held = it }
+        val port = TestPorts.next()
+        val frontend = FrontendServer(loop, handler) { limits }
+        frontend.start("127.0.0.1:$port")
+        return connect(port).use { caller ->
+            caller.send(HEAD + BODY + case.whileHandled)
+            Thread.sleep(50)
+            loop
+                .submit {
+                    handler.draining = case.draining
+                    if (!case.draining) handler.connections.toList().forEach { it.closeWhenIdle() }
+                    caller.send(case.unread)
+                    Thread.sleep(20)
+                    held.complete(Unit)
+                }.sync()
+            List(3) { caller.readStatus() }
+        }
+    }
+
     /** The status line that the caller gets, or null if the connection was closed without one. */
     private fun play(case: Case): String? {
         val handler = AnsweringHandler()
@@ -172,6 +218,7 @@
 
     private companion object {
         const val OK = 200
+        const val OK_LINE = "HTTP/1.1 200 OK"
         const val START_OF_HEAD = "POST /a HTTP/1.1\r\nHo"
         const val REST_OF_HEAD = "st: calls.example\r\nContent-Length: 4\r\n\r\n"
         val LONG_REST_OF_HEAD = REST_OF_HEAD.replace("Content", "Padding: ${"x".repeat(6_000)}\r\nContent")
