Limit the time in which the body of a request must begin to arrive

What callers saw: a connection on which a head with a body length arrived, and nothing after it, was never closed, and a stop waited for it until its time ran out; read at the end of the idle timeout, such a head was closed as idle although its body was on the way. Cause: the head ended the idle or header timeout and only the first bytes of the body started another. Evidence: the new cases "head, end of the idle timeout" (UnreadRequestTest) and "head without its body, then no more data" (HostileRequestsTest: no response instead of 408) failed before the change. Change: the header timeout starts with the head of a request that has a body. Result: UnreadRequestTest, CallerConnectionTest, HostileRequestsTest, GatewayControlTest and ktlint pass.

--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/CallerConnection.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/CallerConnection.kt
@@ -244,7 +244,11 @@
             { refuse(it) },
             { host ->
                 partialRequest = PartialRequest(request, host, BodyAssembler(limits.bodyBytes))
-                if (HttpUtil.getContentLength(request, 0L) > limits.bodyBytes) {
+                val length = HttpUtil.getContentLength(request, 0L)
+                if (length > 0 || HttpUtil.isTransferEncodingChunked(request)) {
+                    startTimer(limits.headerTimeout) { refuse(ErrorKind.CALLER_TOO_SLOW) }
+                }
+                if (length > limits.bodyBytes) {
                     refuse(ErrorKind.BODY_TOO_LARGE)
                 } else if (HttpUtil.is100ContinueExpected(request)) {
                     context.writeAndFlush(
--- a/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/UnreadRequestTest.kt
+++ b/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/UnreadRequestTest.kt
@@ -105,6 +105,7 @@
             Case("rest of a long head, end of the header timeout", START_OF_HEAD, LONG_REST_OF_HEAD + BODY),
             Case("rest of a head, end of the header timeout", START_OF_HEAD, REST_OF_HEAD + BODY),
             Case("body, end of the header timeout", HEAD, BODY),
+            Case("head, end of the idle timeout", HEAD + BODY, HEAD, BODY),
         )
 
     @AfterEach
--- a/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/HostileRequestsTest.kt
+++ b/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/HostileRequestsTest.kt
@@ -60,6 +60,7 @@
                 413,
             ),
             Case("incomplete head, then no more data", "POST /open/a HT", 408),
+            Case("head without its body, then no more data", head("Content-Length: 5\r\n"), 408),
             Case("incomplete body, then no more data", head("Content-Length: 5\r\n") + "he", 408),
         )
 
