Read what has arrived from a server before an attempt is given up as silent

Evidence: AttemptTimeoutTest, "the last event and the end", failed before the change (expected ended, was SILENT). Change: the connection is read until nothing is left before the limit is judged, unless reading is paused.

--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/ServerConnection.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/ServerConnection.kt
@@ -95,8 +95,10 @@
         }
     }
 
-    /** Reads what the server has sent on an idle connection, or its close, before the connection is used again. */
-    fun readAvailable() = channel.readAvailable()
+    /** Reads what the server has sent, or its close, unless reading is paused. */
+    fun readAvailable() {
+        if (channel.config().isAutoRead) channel.readAvailable()
+    }
 
     /** Cancels the request in flight by closing the connection, upon which the server stops processing it. */
     fun cancel() {
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Attempt.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Attempt.kt
@@ -201,6 +201,8 @@
     }
 
     private fun timedOut() {
+        // Input that has arrived moves the limit, or ends the attempt.
+        connection?.readAvailable()
         timeout = null
         val end = timeoutAt
         if (finished || end == null) return
