--- a/tarragonport-standins/src/main/kotlin/io/tarragonport/standin/fleet/StoreStandIn.kt
+++ b/tarragonport-standins/src/main/kotlin/io/tarragonport/standin/fleet/StoreStandIn.kt
@@ -28,8 +28,10 @@
 import io.tarragonport.wire.WireHeaders
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonUnquotedLiteral
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
 import kotlinx.serialization.json.putJsonObject
@@ -80,6 +82,15 @@
         state.put(ServerDecoder.PREFIX.trimEnd('/'), id, value)
     }
 
+    /** Writes [text] among the entries of the backend servers, as another writer might. */
+    @OptIn(ExperimentalSerializationApi::class)
+    fun registerText(
+        id: String,
+        text: String,
+    ) {
+        state.put(ServerDecoder.PREFIX.trimEnd('/'), id, JsonUnquotedLiteral(text))
+    }
+
     /** Removes the entry of a backend server. */
     fun unregister(id: String) = state.remove(ServerDecoder.PREFIX.trimEnd('/'), id)
 
