Read the other server entries beside a deeply nested one

What callers saw: once a deeply nested entry was among those of the servers, a gateway never became ready, or no longer saw servers come and go. Cause: the JSON parser recurses for each list, and printing a parsed value for each level. The thread that reads the list ran out of stack, 256 KiB in a deployment. StackOverflowError is no Exception, so the watch of the list was not started again. Numbers out of range (1e400, 20 digits, negative, null) were tried in slots, born and leaves_ms, listed and registered: they did no harm on the old code either. Open: the loops of the control thread still restart after an Exception only, not after an Error.

--- a/tarragonport-platform/src/main/kotlin/io/tarragonport/platform/PlatformResponse.kt
+++ b/tarragonport-platform/src/main/kotlin/io/tarragonport/platform/PlatformResponse.kt
@@ -34,13 +34,16 @@
             else -> PlatformError.Rejected(status, body, retryAfter)
         }
 
-    /** Decodes the body of a successful response; a malformed body gives [PlatformError.Unavailable]. */
+    /**
+     * Decodes the body of a successful response, without what [JsonNesting] cuts off. A malformed body gives
+     * [PlatformError.Unavailable].
+     */
     fun <T> read(deserializer: DeserializationStrategy<T>): Either<PlatformError, T> =
         if (!succeeded) {
             error().left()
         } else {
             try {
-                WireJson.decodeFromString(deserializer, body).right()
+                WireJson.decodeFromString(deserializer, JsonNesting.limit(body)).right()
             } catch (exception: SerializationException) {
                 PlatformError.Unavailable("malformed response body: ${exception.message}").left()
             }
