Abort a stream that has begun when the next server gives another answer

What callers saw: a stream broke off, the next server answered with an error or with anything but an event stream, and the stream stood still. On a kept connection neither an event nor its end came, beyond the caller's deadline, until the connection was closed as idle. The log said "answered". Cause: Exchange.responseReceived wrote a second head into the response that had begun. Netty's encoder refuses that, so the error's text of the report did not appear in the stream, but the request counted as answered and its connection as free. Evidence: on the old code, GatewayBrokenStreamsTest, "only whole events follow a stream that has begun", callers with keep-alive: expected "id: 1, broken off", was "id: 1, broken off, not told in time" (3.5 s) for 400, 401, 404, 413, 500, 302, 204, 200 that is no event stream, and an error as an event stream. Change: after part of a stream has been sent, a complete answer is a failed attempt: it is retried if the policy permits, else the connection is aborted and the request logged as failed. Why it works: the only other calls that respond after a start (failure, no server, deadline) already abort. Also tried, not seen failing: garbage, close, reset, end inside an event, with chunks, and without them ended by the connection.

--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Exchange.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Exchange.kt
@@ -79,12 +79,18 @@
     ) {
         completeAttempt(attempt, succeeded = response.status < FIRST_SERVER_ERROR)
         countAsUsage(attempt)
-        if (response.status >= FIRST_SERVER_ERROR &&
-            retry(attempt, AttemptOutcome.FAILED, "status ${response.status}")
+        val reason = "status ${response.status}"
+        if ((responseStarted || response.status >= FIRST_SERVER_ERROR) &&
+            retry(attempt, AttemptOutcome.FAILED, reason)
         ) {
             response.body.release()
             return
         }
+        if (responseStarted) {
+            response.body.release()
+            finish("failed", "server" to attempt.server.registered.id, "reason" to reason, "sent" to history.sent)
+            return caller.abort()
+        }
         finish("answered", "status" to response.status, "server" to attempt.server.registered.id)
         caller.respond(
             response.status,
