Fail a stream whose connection ends before its first event

What callers saw: a stream broke off, the next server sent a head with neither length nor chunks and closed, and the stream ended as if it were complete. Cause: such a response ends with its connection, so a server that stops after the head looks like one that has nothing more to send. Evidence: on the old code, GatewayBrokenStreamsTest, row "no length, nothing, then close": expected "id: 1, broken off", was "id: 1, complete". Change: an event stream that ends with its connection without an event is a broken attempt. Why it works: with a length or chunks the server has stated the end; without them only an event shows that it had begun to send. Open: a server that closes properly between two events of a stream without length or chunks cannot be told from one that is done.

--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Attempt.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Attempt.kt
@@ -6,6 +6,7 @@
 import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpUtil
 import io.netty.util.concurrent.ScheduledFuture
 import io.tarragonport.api.gateway.ResponseMetadata
 import io.tarragonport.core.gateway.attempt.AttemptOutcome
@@ -139,6 +140,10 @@
                 fail(AttemptOutcome.BROKEN, "stream ended inside an event")
             }
 
+            streaming && !firstEventForwarded && endsWithConnection() -> {
+                fail(AttemptOutcome.BROKEN, "stream ended with its connection before the first event")
+            }
+
             streaming -> {
                 finish()
                 listener.streamEnded(this)
@@ -190,6 +195,9 @@
             .orEmpty()
             .startsWith("text/event-stream")
 
+    private fun endsWithConnection(): Boolean =
+        response.let { it != null && !HttpUtil.isContentLengthSet(it) && !HttpUtil.isTransferEncodingChunked(it) }
+
     /** Sets the time limit for the next event; the timer is kept, because most limits are moved long before they end. */
     private fun restartTimeout(limit: Duration?) {
         timeoutAt = limit?.let { now() + it }
--- a/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/GatewayBrokenStreamsTest.kt
+++ b/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/GatewayBrokenStreamsTest.kt
@@ -67,6 +67,11 @@
             Case("bytes that are not HTTP", ABORTED, respond { "garbage\r\n\r\n" }),
             Case("close", ABORTED, respondAndClose { "" }),
             Case("nothing more", ONE_EVENT, respond { ServerResponses.streamHead(it) + ServerResponses.STREAM_END }),
+            Case(
+                "no length, nothing, then close",
+                ABORTED,
+                respondAndClose { withoutLength(ServerResponses.streamHead(it)) },
+            ),
             Case("head only, then close", ABORTED, respondAndClose { ServerResponses.streamHead(it) }),
             Case(
                 "end inside an event",
