Reset the connection of a caller without chunks when its stream breaks off

What callers saw: a caller of HTTP 1.0 received the beginning of a stream that broke off, and then the proper end of its connection, which is the end of a complete response there. Cause: CallerConnection.abort closed the connection with FIN. Only with chunks does the missing last one show that the response is incomplete. Evidence: on the old code, GatewayBrokenStreamsTest, "the connection of a caller without chunks is reset if its stream broke off": "Expected an exception of class java.io.IOException to be thrown, but was completed successfully". Change: abort resets the connection if the response has no chunks. Why it works: a reset is read as an error, not as the end. Bytes that the caller has not read yet can be lost by it. Measured: GatewayBrokenStreamsTest 3 tests, CallerConnectionTest, no failure.

--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/CallerConnection.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/CallerConnection.kt
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelOption
 import io.netty.channel.socket.SocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
@@ -183,6 +184,8 @@
     override fun abort() {
         inFlightRequest = null
         closing = true
+        // Without chunks, the end of the connection is the end of the response, and only a reset shows a failure.
+        if (!chunkedAllowed) context.channel().config().setOption(ChannelOption.SO_LINGER, 0)
         context.close()
     }
 
--- a/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/GatewayBrokenStreamsTest.kt
+++ b/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/GatewayBrokenStreamsTest.kt
@@ -8,6 +8,7 @@
 import java.net.SocketTimeoutException
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
 import kotlin.test.assertTrue
 
 /**
@@ -182,8 +183,25 @@
         assertEquals(firstAnswers.map { it.title to it.expected }, outcomes)
     }
 
-    private fun request(path: String): String =
-        "POST $path HTTP/1.1\r\nHost: ${FleetSamples.HOST}\r\n" +
+    /** Guards against a broken stream that looks complete to a caller for whom the connection's end is the stream's. */
+    @Test
+    fun `the connection of a caller without chunks is reset if its stream broke off`() {
+        fixture.store.configure(FleetSamples.configuration())
+        val script = respondAndClose(::begunStream)
+        fixture.startServer(FleetSamples.STREAMS, "s") { call, socket -> script(call, socket) }
+        fixture.start()
+        fixture.connect().use { socket ->
+            socket.getOutputStream().send(request("/chat/a", "HTTP/1.0"))
+            val failure = assertFailsWith<IOException> { socket.getInputStream().readAllBytes() }
+            assertTrue("reset" in failure.message.orEmpty(), "$failure")
+        }
+    }
+
+    private fun request(
+        path: String,
+        version: String = "HTTP/1.1",
+    ): String =
+        "POST $path $version\r\nHost: ${FleetSamples.HOST}\r\n" +
             "${WireHeaders.REQUEST_ID}: id-$path\r\n${WireHeaders.KEY}: ${FleetSamples.KEY}\r\n" +
             "${WireHeaders.REMAINING_TIME}: 2500\r\nContent-Length: 0\r\n\r\n"
 
