Pass no server entry on to other machines that is refused

What callers saw: nothing that was seen; found while the report of odd entries was followed up. Cause: ServerListUpdater passed each change on and kept each entry for machines without the store, before it was decoded. A refused entry of a megabyte would have gone to all other machines, in one message with sound changes; a message above 2 MiB fails its connection. Evidence: on the old code, ServerListUpdaterTest: "expected: <[servers/sound]> but was: <[servers/port, servers/nested, servers/number, servers/text, servers/nothing, servers/sound]>". The failing connection itself was not tried. Change: entries are kept and passed on once they have been decoded. Why it works: the others read the store themselves and refuse the entry with the same decoder. A server whose entry becomes invalid by a change is kept as it was, here and at the others, as before. Measured: ServerListUpdaterTest, GatewayPeersTest and ObjectWatcherTest, no failure. The first also shows that five odd entries are logged by name, listed, changed and from other machines, and that the sound one stays.

--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ServerListUpdater.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ServerListUpdater.kt
@@ -25,7 +25,7 @@
     private var listingReceived = false
     private var storeAway = false
 
-    /** The entries as stored in the object store, by name. */
+    /** The valid entries as stored in the object store, by name. */
     val entries: Map<String, String> get() = entryValues.toMap()
 
     /** The servers that are currently registered. */
@@ -39,8 +39,10 @@
         listingReceived = true
         versions.listed(objects, revision)
         entryValues.clear()
-        objects.forEach { entry -> entry.value?.let { entryValues[entry.name] = it } }
-        val servers = objects.mapNotNull(::decode)
+        val servers =
+            objects.mapNotNull { entry ->
+                decode(entry)?.also { entryValues[entry.name] = entry.value.orEmpty() }
+            }
         registry.replace(servers, afterOutage)
         log.event(GatewayEvents.SERVERS_LISTED, "servers" to servers.size, "after_outage" to afterOutage)
         publish()
@@ -63,14 +65,16 @@
     }
 
     private fun applyChange(entry: ObjectEntry) {
-        passOn(ServerEntryChange(entry.name, entry.version, entry.value.takeUnless { entry.deleted }))
-        if (entry.deleted) entryValues -= entry.name else entry.value?.let { entryValues[entry.name] = it }
         if (entry.deleted) {
+            entryValues -= entry.name
+            passOn(ServerEntryChange(entry.name, entry.version, value = null))
             val id = BackendServerId(entry.name.removePrefix(ServerDecoder.PREFIX))
             registry.remove(id)
             log.event(GatewayEvents.SERVER_GONE, "server" to id, "version" to entry.version)
         } else {
             val server = decode(entry) ?: return
+            entryValues[entry.name] = entry.value.orEmpty()
+            passOn(ServerEntryChange(entry.name, entry.version, entry.value))
             registry.put(server)
             log.event(GatewayEvents.SERVER_ADDED, "server" to server, "version" to entry.version)
         }
