--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Attempt.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Attempt.kt
@@ -25,7 +25,8 @@
  * Sends one request to one backend server and validates the response.
  *
  * Reports exactly one result: a complete response, the end of a stream or a failure. A success status without the
- * server's signature or with an encoded body, a truncated response and a stream that ends inside an event are failures.
+ * server's signature or with an encoded body, a truncated response, a stream that ends inside an event and one that ends
+ * with its connection before the first event are failures.
  */
 internal class Attempt(
     private val choice: ServerChoice,
--- a/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/ServerListUpdaterTest.kt
+++ b/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/ServerListUpdaterTest.kt
@@ -21,7 +21,8 @@
         ServerListUpdater(
             ServerRegistry(TestTimeSource()),
             ControlLog { event, fields ->
-                if (event.name == "server_entry_rejected") logged += fields.first { it.first == "entry" }.second.toString()
+                val entryName = fields.toMap()["entry"]
+                if (event.name == "server_entry_rejected") logged += entryName.toString()
             },
             { passedOn += it.name },
         ) { }
--- a/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/GatewayBrokenStreamsTest.kt
+++ b/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/GatewayBrokenStreamsTest.kt
@@ -77,7 +77,10 @@
             Case(
                 "end inside an event",
                 ABORTED,
-                respond { ServerResponses.streamHead(it) + ServerResponses.chunk("id: 2\nda") + ServerResponses.STREAM_END },
+                respond {
+                    ServerResponses.streamHead(it) + ServerResponses.chunk("id: 2\nda") +
+                        ServerResponses.STREAM_END
+                },
             ),
             Case(
                 "no length, event, then reset",
@@ -156,7 +159,11 @@
                 },
             ),
             Case("an answer that is no HTTP", ABORTED, respond { begunStream(it) + "garbage\r\n" }),
-            Case("a second head in the stream", ABORTED, respond { begunStream(it) + ServerResponses.plain(it, ERROR) }),
+            Case(
+                "a second head in the stream",
+                ABORTED,
+                respond { begunStream(it) + ServerResponses.plain(it, ERROR) },
+            ),
             Case("whole events and the end", ONE_EVENT, respond { begunStream(it) + ServerResponses.STREAM_END }),
             Case(
                 "no length, whole events, then close",
--- a/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/GatewayOddEntriesTest.kt
+++ b/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/GatewayOddEntriesTest.kt
@@ -35,8 +35,16 @@
 
     private val numbers =
         listOf("slots", "born", "leaves_ms").flatMap { field ->
-            listOf("1e400", "99999999999999999999", "-9223372036854775808", "1e99999999999", "-1", "0.5", "null", "\"\"")
-                .map { Case("$field $it", withField(it, field)) }
+            listOf(
+                "1e400",
+                "99999999999999999999",
+                "-9223372036854775808",
+                "1e99999999999",
+                "-1",
+                "0.5",
+                "null",
+                "\"\"",
+            ).map { Case("$field $it", withField(it, field)) }
         }
 
     @AfterEach
