Restart a control loop after any failure, not only after an exception

Cause: loops of the control thread were restarted after an Exception only. A StackOverflowError ended the loop for good. Evidence: LoopRunnerTest with the old catch: "java.lang.StackOverflowError ==> expected: <(2, [java.lang.StackOverflowError])> but was: <(1, [])>". Change: the loops are run by LoopRunner, moved out of ControlModule, which logs and restarts after any Throwable but a cancellation. Why it works: each loop keeps its place in its own state, so a new run goes on from there, as it did after an exception.

--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ControlModule.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ControlModule.kt
@@ -22,7 +22,6 @@
 import io.tarragonport.core.gateway.usage.UsageWindowCounter
 import io.tarragonport.core.lease.LeaseOwner
 import io.tarragonport.core.lease.LeaseSettings
-import io.tarragonport.daemon.gateway.exchange.GatewayEvents
 import io.tarragonport.daemon.gateway.exchange.TrafficState
 import io.tarragonport.daemon.gateway.exchange.UsageRecorder
 import io.tarragonport.daemon.lease.LeaseCandidacy
@@ -34,13 +33,10 @@
 import io.tarragonport.wire.ServerDecoder
 import io.tarragonport.wire.UserPlatformDuties
 import io.tarragonport.wire.UserPlatformObjectStore
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.cancel
-import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.TimeUnit
@@ -66,6 +62,7 @@
     private val loop = group.next()
     private val dispatcher = loop.asCoroutineDispatcher()
     private val scope = CoroutineScope(SupervisorJob() + dispatcher)
+    private val loops = LoopRunner(scope, log)
     private val http = PlatformHttp(settings.platformUrl, STORE_TIMEOUTS, loop)
     private val store = UserPlatformObjectStore(http)
     private val usageCounter = UsageWindowCounter(settings.usageWindowSeconds.seconds)
@@ -173,36 +170,19 @@
 
     /** Starts all control loops. */
     fun start() {
-        launchLoop("configuration watch") { configurationWatcher.run() }
-        launchLoop("server watch") { serverWatcher.run() }
-        launchLoop("expiry of servers") { serverListUpdater.expireMissing() }
-        launchLoop("record") { recordLoop.run() }
-        launchLoop("fleet") { fleetLoop.run() }
+        loops.launch("configuration watch") { configurationWatcher.run() }
+        loops.launch("server watch") { serverWatcher.run() }
+        loops.launch("expiry of servers") { serverListUpdater.expireMissing() }
+        loops.launch("record") { recordLoop.run() }
+        loops.launch("fleet") { fleetLoop.run() }
         peers.updatePeers(settings.seeds.map { "${it.substringBeforeLast(':')}:${settings.peerPorts.first()}" })
-        launchLoop("peer messages") { peers.listen() }
-        launchLoop("announcements") { peers.announce() }
-        launchLoop("changes") { peers.spreadChanges() }
-        launchLoop("loads") { loadLoop.run() }
+        loops.launch("peer messages") { peers.listen() }
+        loops.launch("announcements") { peers.announce() }
+        loops.launch("changes") { peers.spreadChanges() }
+        loops.launch("loads") { loadLoop.run() }
         leaseAndDutyLoop?.let { (lease, loop) ->
-            launchLoop("lease") { lease.run() }
-            launchLoop("duties") { loop.run() }
-        }
-    }
-
-    /** Runs one loop. A loop that fails unexpectedly is logged and restarted; the others keep running. */
-    private fun launchLoop(
-        name: String,
-        run: suspend () -> Unit,
-    ) = scope.launch {
-        while (true) {
-            try {
-                return@launch run()
-            } catch (exception: CancellationException) {
-                throw exception
-            } catch (exception: Exception) {
-                log.event(GatewayEvents.PART_FAILED, "part" to name, "error" to exception)
-                delay(RESTART_DELAY)
-            }
+            loops.launch("lease") { lease.run() }
+            loops.launch("duties") { loop.run() }
         }
     }
 
@@ -333,9 +313,6 @@
         val LEASE_MARGIN = 500.milliseconds
         val LEASE_RETRY_INTERVAL = 400.milliseconds
 
-        /** Delay before a failed loop is restarted. */
-        val RESTART_DELAY = 500.milliseconds
-
         /** Allows for two calls to the object store. */
         val STOP_TIMEOUT = 600.milliseconds
 
