Let the age of a crash grow in the VM records

Callers saw: sound requests answered 502 after a single crash or lost response of the same request. Cause: CrashGuard.recentCrashes kept the ages of the moment of recording. Each later VM record named the crash as just seen, and other VMs, which count records 2 s apart as different crashes, reached three from one. Evidence: CrashGuardTest on the old code: "expected: <[5000]> but was: <[0]>". Change: the ages are worked out when the VM record is written.

--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ControlModule.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ControlModule.kt
@@ -8,7 +8,6 @@
 import io.tarragonport.api.id.OrganisationId
 import io.tarragonport.api.id.ServiceId
 import io.tarragonport.api.id.VmId
-import io.tarragonport.api.peer.CrashRecord
 import io.tarragonport.api.settings.GatewaySettings
 import io.tarragonport.core.gateway.balance.ServerLoad
 import io.tarragonport.core.gateway.fleet.FleetIntervals
@@ -22,6 +21,7 @@
 import io.tarragonport.core.gateway.usage.UsageWindowCounter
 import io.tarragonport.core.lease.LeaseOwner
 import io.tarragonport.core.lease.LeaseSettings
+import io.tarragonport.daemon.gateway.exchange.CrashGuard
 import io.tarragonport.daemon.gateway.exchange.GatewayEvents
 import io.tarragonport.daemon.gateway.exchange.TrafficState
 import io.tarragonport.daemon.gateway.exchange.UsageRecorder
@@ -162,9 +162,9 @@
             override fun requestEnded(service: ServiceId) = demand.requestEnded(service)
         }
 
-    /** Crashes recorded by the traffic thread, as of the last refresh of the VM records. */
+    /** The traffic thread's records of crashes, once it has run the first task. */
     @Volatile
-    private var recordedCrashes: List<CrashRecord> = emptyList()
+    private var crashGuard: CrashGuard? = null
 
     /** Whether a listing of the backend servers has been received. */
     @Volatile
@@ -226,7 +226,7 @@
         runOnTrafficThread { state ->
             state.liveVms = maxOf(live.size, 1)
             state.crashes.merge(crashes)
-            recordedCrashes = state.crashes.recentCrashes
+            crashGuard = state.crashes
         }
     }
 
@@ -251,7 +251,7 @@
             heartbeat = heartbeat,
             windows = windows,
             demand = demand.read(),
-            crashes = recordedCrashes,
+            crashes = crashGuard?.recentCrashes.orEmpty(),
             nextInMs = intervals.recordInterval.inWholeMilliseconds,
         )
     }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/CrashGuard.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/CrashGuard.kt
@@ -6,6 +6,7 @@
 import io.tarragonport.api.peer.CrashRecord
 import io.tarragonport.core.health.CrashHistory
 import io.tarragonport.daemon.gateway.ingress.CallerRequest
+import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
@@ -18,14 +19,15 @@
  * only after [BLOCK_THRESHOLD] crashes.
  */
 internal class CrashGuard(
-    clock: TimeSource.WithComparableMarks,
+    private val clock: TimeSource.WithComparableMarks,
 ) {
     private val crashHistory = CrashHistory(clock, BLOCK_THRESHOLD, SAME_CRASH_WINDOW)
 
-    /** The newest recorded crashes, for the VM record; safe to read from any thread. */
     @Volatile
-    var recentCrashes: List<CrashRecord> = emptyList()
-        private set
+    private var recorded = RecordedCrashes(emptyList(), clock.markNow())
+
+    /** The newest recorded crashes with their present ages, for the VM record; safe to read from any thread. */
+    val recentCrashes: List<CrashRecord> get() = recorded.aged()
 
     /** Whether [request] must not be sent to another server. */
     fun blocks(request: CallerRequest): Boolean = !crashHistory.isEmpty && crashHistory.isBlocked(fingerprint(request))
@@ -36,12 +38,23 @@
         server: BackendServerId,
     ) {
         crashHistory.record(fingerprint(request), server)
-        recentCrashes = crashHistory.records().takeLast(MAXIMUM_SHARED_CRASHES)
+        recorded = RecordedCrashes(crashHistory.records().takeLast(MAXIMUM_SHARED_CRASHES), clock.markNow())
     }
 
     /** Adds crashes recorded on other VMs. */
     fun merge(crashes: List<CrashRecord>) = crashHistory.merge(crashes)
 
+    /** Crashes with their ages at [readAt]. */
+    private class RecordedCrashes(
+        private val records: List<CrashRecord>,
+        private val readAt: ComparableTimeMark,
+    ) {
+        fun aged(): List<CrashRecord> {
+            val elapsed = readAt.elapsedNow().inWholeMilliseconds
+            return records.map { it.copy(ageMs = it.ageMs + elapsed) }
+        }
+    }
+
     private fun fingerprint(request: CallerRequest): String =
         Hashing
             .murmur3_128()
