--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ControlModule.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ControlModule.kt
@@ -8,7 +8,7 @@
 import io.tarragonport.api.id.OrganisationId
 import io.tarragonport.api.id.ServiceId
 import io.tarragonport.api.id.VmId
-import io.tarragonport.api.peer.CrashRecord
+import io.tarragonport.api.peer.PeerMessage
 import io.tarragonport.api.settings.GatewaySettings
 import io.tarragonport.core.gateway.balance.ServerLoad
 import io.tarragonport.core.gateway.fleet.FleetIntervals
@@ -22,6 +22,8 @@
 import io.tarragonport.core.gateway.usage.UsageWindowCounter
 import io.tarragonport.core.lease.LeaseOwner
 import io.tarragonport.core.lease.LeaseSettings
+import io.tarragonport.daemon.gateway.exchange.CrashGuard
+import io.tarragonport.daemon.gateway.exchange.CrashSharing
 import io.tarragonport.daemon.gateway.exchange.TrafficState
 import io.tarragonport.daemon.gateway.exchange.UsageRecorder
 import io.tarragonport.daemon.lease.LeaseCandidacy
@@ -118,8 +120,24 @@
             serverListUpdater,
             interval = { intervals.announceInterval },
             clock = clock,
-            onOtherMessage = { from, message -> loadLoop.receive(from, message) },
+            onOtherMessage = { from, message ->
+                if (message is PeerMessage.GatewayCrashes) {
+                    runOnTrafficThread { it.crashes.receive(message) }
+                } else {
+                    loadLoop.receive(from, message)
+                }
+            },
         )
+    private val crashGossip =
+        CrashGossip(
+            interval = { intervals.announceInterval },
+            recentCrashes = { crashGuard?.recentCrashes.orEmpty() },
+            sendToRandom = peers::sendToRandom,
+        )
+
+    /** Passes crashes on to other VMs; called by the traffic thread. */
+    val crashSharing =
+        CrashSharing { news -> if (!loop.isShuttingDown) loop.execute { crashGossip.passOn(news) } }
 
     /** This VM's load at backend servers, as last read on the traffic thread. */
     @Volatile
@@ -159,9 +177,9 @@
             override fun requestEnded(service: ServiceId) = demand.requestEnded(service)
         }
 
-    /** Crashes recorded by the traffic thread, as of the last refresh of the VM records. */
+    /** The traffic thread's records of crashes, once it has run the first task. */
     @Volatile
-    private var recordedCrashes: List<CrashRecord> = emptyList()
+    private var crashGuard: CrashGuard? = null
 
     /** Whether a listing of the backend servers has been received. */
     @Volatile
@@ -179,6 +197,8 @@
         loops.launch("peer messages") { peers.listen() }
         loops.launch("announcements") { peers.announce() }
         loops.launch("changes") { peers.spreadChanges() }
+        loops.launch("crashes") { crashGossip.spread() }
+        loops.launch("repeated crashes") { crashGossip.repeat() }
         loops.launch("loads") { loadLoop.run() }
         leaseAndDutyLoop?.let { (lease, loop) ->
             loops.launch("lease") { lease.run() }
@@ -205,8 +225,8 @@
         val crashes = live.filter { it.vm != settings.vmId }.flatMap { it.crashes }
         runOnTrafficThread { state ->
             state.liveVms = maxOf(live.size, 1)
-            state.crashes.merge(crashes)
-            recordedCrashes = state.crashes.recentCrashes
+            state.crashes.mergeVmRecords(crashes)
+            crashGuard = state.crashes
         }
     }
 
@@ -231,7 +251,7 @@
             heartbeat = heartbeat,
             windows = windows,
             demand = demand.read(),
-            crashes = recordedCrashes,
+            crashes = crashGuard?.recentCrashes.orEmpty(),
             nextInMs = intervals.recordInterval.inWholeMilliseconds,
         )
     }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/GatewayEvents.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/GatewayEvents.kt
@@ -67,6 +67,18 @@
         LogEvent(3053, "store_object_pruned", "an outdated object was deleted from the object store")
     val PRUNING_FAILED =
         LogEvent(3054, "store_pruning_failed", "an outdated object could not be deleted; it is retried")
+    val REQUEST_BLOCKED =
+        LogEvent(
+            3060,
+            "gateway_request_blocked",
+            "a request is not sent, because servers crashed while they ran it or a part of its prompt; carries which",
+        )
+    val SERVER_CRASHED =
+        LogEvent(
+            3061,
+            "gateway_server_crashed",
+            "a server's connection ended during a request; carries whether it counts as a crash and the suspect parts",
+        )
 
     /** Every event of the gateway. */
     val ALL =
@@ -104,5 +116,7 @@
             SERVERS_ADOPTED,
             PRUNED,
             PRUNING_FAILED,
+            REQUEST_BLOCKED,
+            SERVER_CRASHED,
         )
 }
