Read a server's other connections before a crash is told from a lost response

Seen: GatewayCrashesTest once, beside other work, "during the response: 4 crashes", expected 3; which of two reasons it had is not traced: a crash that was missed in this way, or the fixed wait of the test, in which a late confirmation comes after the next request. Change: the connections are read before they are judged; the test waits for the log event of each crash instead of a fixed time, with the same bounds.

--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/CrashDetector.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/CrashDetector.kt
@@ -29,6 +29,8 @@
         val others = pools.observed(server)
         if (others.isEmpty()) return record(request, suspects, server, Duration.ZERO)
         loop.schedule({
+            // Their end may have arrived without having been read.
+            others.forEach { it.readAvailable() }
             if (others.none { it.observed }) {
                 record(request, suspects, server, CONFIRMATION_DELAY)
             } else {
--- a/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/ServerConnectionPoolTest.kt
+++ b/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/ServerConnectionPoolTest.kt
@@ -50,6 +50,8 @@
             ended.complete(Unit)
         }
 
+        override fun connectionClosed(reason: String) = responseFailed(reason)
+
         override fun responseFailed(reason: String) {
             ended.completeExceptionally(IllegalStateException(reason))
         }
--- a/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/GatewayCrashesTest.kt
+++ b/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/GatewayCrashesTest.kt
@@ -93,6 +93,7 @@
                 }
         }
         fixture.start()
+        var previous = 0
         cases.forEachIndexed { index, next ->
             case = next
             crashes.set(0)
@@ -101,8 +102,11 @@
             repeat(12) {
                 if (send("first", "crashing-$index", path = case.path) == 502 to "no") refused++
                 assertEquals(200, send("first", "sound", path = case.path).first, case.title)
-                Thread.sleep(CONFIRMATION_MS)
+                fixture.eventually("a crash is not recorded") {
+                    fixture.eventCount("gateway_server_crashed") == previous + crashes.get()
+                }
             }
+            previous += crashes.get()
             assertTrue(crashes.get() in case.crashes, "${case.title}: ${crashes.get()} crashes")
             assertTrue(refused >= 8, "${case.title}: $refused refused")
         }
--- a/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/GatewayFixture.kt
+++ b/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/GatewayFixture.kt
@@ -23,6 +23,7 @@
     private val servers = mutableListOf<ScriptedServer>()
     val callerPort = FreePorts.next()
     private val readinessPort = FreePorts.next()
+    private val metricsPort = FreePorts.next()
     private val client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build()
     private val platformPort = store.start()
     val gateway = Gateway(settings())
@@ -43,7 +44,7 @@
             stopSeconds = 4.0,
             leaseSeconds = 1.0,
             usageWindowSeconds = 1.0,
-            metricsPort = FreePorts.next(),
+            metricsPort = metricsPort,
         )
 
     /** Starts a backend server of [service] with [script] and registers it in the store. */
@@ -93,6 +94,16 @@
         return client.send(builder.build(), HttpResponse.BodyHandlers.ofString())
     }
 
+    /** Number of log events [name] so far. */
+    fun eventCount(name: String): Int =
+        get("http://127.0.0.1:$metricsPort/metrics")
+            .body()
+            .lines()
+            .firstOrNull { it.startsWith("gateway_events_total") && "\"$name\"" in it }
+            ?.substringAfterLast(' ')
+            ?.toDouble()
+            ?.toInt() ?: 0
+
     /** Opens a raw connection to the gateway. */
     fun connect(): Socket = Socket("127.0.0.1", callerPort).apply { soTimeout = SOCKET_TIMEOUT_MS }
 
