Take only a complete success as a sign that a prompt part is sound

What callers could see: a prompt part that crashes servers is not blocked, because a request with it was refused by a server before that began to write a response (400, 404, 413), or because a stream without length or chunks ended with the connection that the crash had ended. Found by the reviewer of the guard. Change: successes are responses with a status of 200 to 299 and streams that end by their length or chunks after an event.

--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Attempt.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Attempt.kt
@@ -49,6 +49,11 @@
     /** Whether the first event has been passed to the caller. */
     var firstEventForwarded = false
 
+    /** Whether the response has neither a length nor chunks. */
+    val endsWithConnection: Boolean
+        get() =
+            response.let { it != null && !HttpUtil.isContentLengthSet(it) && !HttpUtil.isTransferEncodingChunked(it) }
+
     /** Whether the request has been counted as usage. */
     var countedAsUsage = false
 
@@ -141,7 +146,7 @@
                 fail(AttemptOutcome.BROKEN, "stream ended inside an event")
             }
 
-            streaming && !firstEventForwarded && endsWithConnection() -> {
+            streaming && !firstEventForwarded && endsWithConnection -> {
                 fail(AttemptOutcome.BROKEN, "stream ended with its connection before the first event")
             }
 
@@ -198,9 +203,6 @@
             .orEmpty()
             .startsWith("text/event-stream")
 
-    private fun endsWithConnection(): Boolean =
-        response.let { it != null && !HttpUtil.isContentLengthSet(it) && !HttpUtil.isTransferEncodingChunked(it) }
-
     /** Sets the time limit for the next event; the timer is kept, because most limits are moved long before they end. */
     private fun restartTimeout(limit: Duration?) {
         timeoutAt = limit?.let { now() + it }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Exchange.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Exchange.kt
@@ -78,6 +78,7 @@
         attempt: Attempt,
         response: CompleteResponse,
     ) {
+        if (response.status in SUCCESS) state.crashes.succeeded(fingerprints)
         completeAttempt(attempt, succeeded = response.status < FIRST_SERVER_ERROR)
         countAsUsage(attempt)
         val reason = "status ${response.status}"
@@ -126,6 +127,8 @@
     }
 
     override fun streamEnded(attempt: Attempt) {
+        // A stream that ends with its connection can be one whose server has crashed.
+        if (attempt.firstEventForwarded && !attempt.endsWithConnection) state.crashes.succeeded(fingerprints)
         completeAttempt(attempt, succeeded = true)
         finish("streamed", "server" to attempt.server.registered.id, "last_event" to lastEventId)
         if (responseStarted) caller.endResponse() else respondWithError(ErrorKind.BACKEND_FAILED, null)
@@ -306,7 +309,6 @@
         if (!ended.firstEventForwarded) ended.server.recordFirstEvent(ended.tokensToProcess)
         ended.server.recordEnd()
         state.usage.requestEnded(service)
-        if (succeeded) state.crashes.succeeded(fingerprints)
         val now = state.now()
         when {
             !succeeded -> ended.server.health.failed(now)
@@ -360,6 +362,7 @@
     private fun queueTimeLimit(): Duration = minOf(callerTimeout, route.timeout) * MAXIMUM_QUEUE_SHARE
 
     private companion object {
+        val SUCCESS = 200..299
         const val FIRST_SERVER_ERROR = 500
         val ENGINE_PRIORITY_RANGE = 0..9
 
--- a/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/GatewayCrashesTest.kt
+++ b/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/GatewayCrashesTest.kt
@@ -112,6 +112,34 @@
         }
     }
 
+    /** Pattern: a request is refused before the server begins to write the response on which it crashes. */
+    @Test
+    fun `an error response to a request does not show that its parts are sound`() {
+        fixture.store.configure(FleetSamples.configuration())
+        val requests = AtomicInteger()
+        val servers = mutableMapOf<String, ScriptedServer>()
+        List(SERVERS) { "s$it" }.forEach { id ->
+            servers[id] =
+                startServer(id) { call, socket ->
+                    if (requests.incrementAndGet() == 3) {
+                        socket.getOutputStream().send(ServerResponses.plain(call, "", status = "404 Not Found"))
+                    } else {
+                        crashes.incrementAndGet()
+                        servers.getValue(id).crash()
+                    }
+                    true
+                }
+        }
+        fixture.start()
+        repeat(8) {
+            send("crashing")
+            fixture.eventually("a crash is not recorded") {
+                fixture.eventCount("gateway_server_crashed") == crashes.get()
+            }
+        }
+        assertEquals(3, crashes.get())
+    }
+
     /** Pattern: a server loses single responses, while its other connections stay open. */
     @Test
     fun `lost responses of a server that runs other requests block nothing`() {
