Repeat successes for VMs that have missed them

What callers could see: a VM goes on refusing requests with a sound prompt part for ten minutes: it has received three crashes of the part, but not the message that the part succeeded on another VM, and it has no success of its own any more. Cause: only crashes were repeated to other VMs. Change: successes are repeated for ten seconds, with their age; a VM repeats crashes from its start, not from its first reading of the VM records.

--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ControlModule.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ControlModule.kt
@@ -131,6 +131,7 @@
     private val crashGossip =
         CrashGossip(
             interval = { intervals.announceInterval },
+            clock = clock,
             recentCrashes = { crashGuard?.recentCrashes.orEmpty() },
             sendToRandom = peers::sendToRandom,
         )
@@ -188,6 +189,7 @@
 
     /** Starts all control loops. */
     fun start() {
+        runOnTrafficThread { crashGuard = it.crashes }
         loops.launch("configuration watch") { configurationWatcher.run() }
         loops.launch("server watch") { serverWatcher.run() }
         loops.launch("expiry of servers") { serverListUpdater.expireMissing() }
@@ -226,7 +228,6 @@
         runOnTrafficThread { state ->
             state.liveVms = maxOf(live.size, 1)
             state.crashes.mergeVmRecords(crashes)
-            crashGuard = state.crashes
         }
     }
 
--- a/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/CrashGossipTest.kt
+++ b/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/CrashGossipTest.kt
@@ -12,6 +12,7 @@
 import io.tarragonport.api.peer.PeerCodec
 import io.tarragonport.api.peer.PeerEnvelope
 import io.tarragonport.api.peer.PeerMessage
+import io.tarragonport.api.peer.SuccessRecord
 import io.tarragonport.daemon.gateway.control.CrashGossip
 import io.tarragonport.daemon.gateway.exchange.CrashFingerprints
 import io.tarragonport.daemon.gateway.exchange.CrashGuard
@@ -21,6 +22,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TestTimeSource
 
 private const val BAD = "crashing"
@@ -55,6 +57,23 @@
             assertEquals(0, fleet.blockedSound, "$case: crashes at $crashes")
             assertTrue(fleet.messagesPerSecond < 10, "$case: ${fleet.messagesPerSecond} messages a second from each VM")
         }
+
+    /** Pattern: a VM that holds three crashes of a sound part, and lost the message that it had succeeded elsewhere. */
+    @Test
+    fun `successes are repeated for VMs that have missed them`() {
+        val clock = TestTimeSource()
+        val sent = mutableListOf<PeerMessage>()
+        val gossip = CrashGossip({ 1.seconds }, clock, { emptyList() }) { _, message -> sent += message }
+        gossip.passOn(PeerMessage.GatewayCrashes(emptyList(), listOf(SuccessRecord("part"))))
+        gossip.spreadOnce()
+        listOf(5.seconds to listOf(5_000L), 6.seconds to emptyList()).forEach { (elapsed, ages) ->
+            sent.clear()
+            clock += elapsed
+            gossip.repeatOnce()
+            val repeated = ages.map { PeerMessage.GatewayCrashes(emptyList(), listOf(SuccessRecord("part", it))) }
+            assertEquals<List<PeerMessage>>(repeated, sent)
+        }
+    }
 }
 
 /** VMs with requests in flight, in virtual time; messages between them are delayed and lost. */
@@ -65,7 +84,7 @@
 ) {
     private inner class Vm {
         val guard: CrashGuard = CrashGuard(clock, random) { gossip.passOn(it) }
-        val gossip: CrashGossip = CrashGossip({ 1_250.milliseconds }, { guard.recentCrashes }, ::sendToRandom)
+        val gossip: CrashGossip = CrashGossip({ 1_250.milliseconds }, clock, { guard.recentCrashes }, ::sendToRandom)
     }
 
     private class Running(
