Add review case 2: bodies within the limit stop both gateways

Cause: request bodies are held in the direct buffers in which they arrived until their requests end, and nothing bounds them in sum. The command of the deploy file allows 64 MB of direct memory. Once it is used up, each read on the traffic thread waits about half a second for its buffer and then closes its connection.

Added: the case with its claim. At each of two gateways ten consumers post bodies just below max_body_bytes, 2.3 times as many for 9 s.

--- a/review/standins/Cases.java
+++ b/review/standins/Cases.java
@@ -7,7 +7,8 @@
     }
 
     private static final Map<String, Case> ALL = Map.of(
-        "CutRefusals", CutRefusals::run
+        "CutRefusals", CutRefusals::run,
+        "LargeBodies", LargeBodies::run
     );
 
     private Cases() {}
