Add review case 3: Server-Leaving in a server's answers is not read

Cause: no code reads the header Server-Leaving. While the store is down, a gateway learns of a leaving server from its answers only, and goes on sending to it until it is gone.

Added: the case with its claim.

--- a/review/standins/Cases.java
+++ b/review/standins/Cases.java
@@ -8,7 +8,8 @@
 
     private static final Map<String, Case> ALL = Map.of(
         "CutRefusals", CutRefusals::run,
-        "LargeBodies", LargeBodies::run
+        "LargeBodies", LargeBodies::run,
+        "LeavingAnnounced", LeavingAnnounced::run
     );
 
     private Cases() {}
