Add review case 4: a listing in pages loses changes between its pages

Cause: a listing of several pages bears the revision of its last page, and the watch goes on from there. A change of an entry of an earlier page that comes between the pages is in neither.

Added: the case with its claim; planned work only, no fault.

--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")"
 rm -rf target
 mkdir -p target
-javac --release 17 -d target standins/*.java
+javac --release 17 -encoding UTF-8 -d target standins/*.java
--- a/review/standins/Cases.java
+++ b/review/standins/Cases.java
@@ -9,7 +9,8 @@
     private static final Map<String, Case> ALL = Map.of(
         "CutRefusals", CutRefusals::run,
         "LargeBodies", LargeBodies::run,
-        "LeavingAnnounced", LeavingAnnounced::run
+        "LeavingAnnounced", LeavingAnnounced::run,
+        "PagedListing", PagedListing::run
     );
 
     private Cases() {}
