--- a/review/standins/Cases.java
+++ b/review/standins/Cases.java
@@ -10,7 +10,8 @@
         "CutRefusals", CutRefusals::run,
         "LargeBodies", LargeBodies::run,
         "LeavingAnnounced", LeavingAnnounced::run,
-        "PagedListing", PagedListing::run
+        "PagedListing", PagedListing::run,
+        "RawPaths", RawPaths::run
     );
 
     private Cases() {}
