Add review case 3: a part that sound requests share is blocked on all gateways

Cause: a part of a prompt with three crashes is blocked for ten minutes unless a success clears it or one other part explains all of its crashes. Streams that end with their connection never count as successes, and one ordinary crash beside two by a deadly part leaves none that explains them all.

Added: the case with its claim.

--- a/review/standins/Cases.java
+++ b/review/standins/Cases.java
@@ -11,7 +11,7 @@
         "LargeBodies", LargeBodies::run,
         "LeavingAnnounced", LeavingAnnounced::run,
         "PagedListing", PagedListing::run,
-        "RawPaths", RawPaths::run
+        "UnframedStreams", UnframedStreams::run
     );
 
     private Cases() {}
