Make review case 1 reach each server

Cause: in a run on a clean clone both gateways sent hardly anything to the faulty servers, because a server that has once answered fast keeps the work, and the case held. All consumers now begin at once, so that each gateway tries each server.

--- a/review/standins/CutRefusals.java
+++ b/review/standins/CutRefusals.java
@@ -16,6 +16,8 @@
     /** The largest dose of the small sites: 0.6 of the servers, 0.03 of their answers. */
     private static final int FAULTY = 3;
     private static final double SPOILT = 0.03;
+    /** They begin all at once, so that each gateway tries each server. */
+    private static final int CONSUMERS = 24;
     private static final String[] STATUSES = {"503 Service Unavailable", "421 Misdirected Request"};
 
     private CutRefusals() {}
@@ -29,7 +31,7 @@
             boolean faulty = trouble && index < FAULTY;
             Backend server = new Backend("i-line-" + index, 6, record, (call, socket, out) -> {
                 runs.computeIfAbsent(call.id(), id -> new AtomicInteger()).incrementAndGet();
-                Thread.sleep(5 + random.nextInt(20));
+                Thread.sleep(20 + random.nextInt(20));
                 String more = "";
                 if (faulty && random.nextDouble() < SPOILT) {
                     Backend.Call earlier = new Backend.Call();
@@ -48,16 +50,16 @@
         long end = Record.now() + 60_000;
         List<Consumer.Answer> answers = new ArrayList<>();
         List<Thread> threads = new ArrayList<>();
-        for (int index = 0; index < 16; index++) {
+        for (int index = 0; index < CONSUMERS; index++) {
             int number = index;
             threads.add(Threads.start("consumer-" + number, () -> {
                 try (Consumer consumer = new Consumer(fleet.frontend(number % 2), Site.KEY, record)) {
                     while (Record.now() < end) {
-                        Thread.sleep(random.nextInt(150));
                         Consumer.Answer answer = consumer.send("POST", "/gate/belt-7", "", new byte[600], 600);
                         synchronized (answers) {
                             answers.add(answer);
                         }
+                        Thread.sleep(random.nextInt(60));
                     }
                 }
             }));
