Close a server connection on which bytes follow a response

Cause: a connection returned to its pool once its response was decoded. Bytes behind the response that are no complete head produce no decoded part; the decoder kept them, and the next response completed them: "HTTP/1.1 421 Misdir" + "HTTP/1.1 200 OK" was read as status 421 with the id and signature of the next response.

Change: the decoder counts bytes by their position. Any byte before a request is sent or after the end of its response makes the connection unusable, and it is closed. Event 3062 reports it with the server.

ServerConnectionPoolTest failed at "the beginning of a status line" and passes.

--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/ConnectionPools.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/ConnectionPools.kt
@@ -1,6 +1,7 @@
 package io.tarragonport.daemon.gateway.egress
 
 import io.netty.channel.EventLoop
+import io.tarragonport.api.gateway.RegisteredServer
 import io.tarragonport.core.gateway.balance.TrackedServer
 import kotlin.time.TimeSource
 
@@ -9,13 +10,16 @@
     private val loop: EventLoop,
     private val clock: TimeSource.WithComparableMarks,
     private val inputReceived: () -> Unit,
+    private val onUnexpectedInput: (RegisteredServer) -> Unit,
 ) {
     // Each incarnation of a server is tracked by an object of its own, compared by identity.
     private val pools = HashMap<TrackedServer, ServerConnectionPool>()
 
     /** The connection pool for this incarnation of [server]. */
     fun of(server: TrackedServer): ServerConnectionPool =
-        pools.getOrPut(server) { ServerConnectionPool(server.registered, loop, clock, inputReceived) }
+        pools.getOrPut(server) {
+            ServerConnectionPool(server.registered, loop, clock, inputReceived, onUnexpectedInput)
+        }
 
     /** The connections to this incarnation of [server] whose end would be noticed. */
     fun observed(server: TrackedServer): List<ServerConnection> = pools[server]?.observed().orEmpty()
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/ServerConnection.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/ServerConnection.kt
@@ -31,13 +31,14 @@
  * A server can send a late response to an earlier request where the response to the next one is expected. Such a
  * response is detected by its request id: it is read and dropped, the connection is not reused, and the expected
  * response may still follow. A response without the id fails the request, because nothing shows to which request it
- * belongs. Bytes that belong to no response are limited. The connection returns to its pool only when everything received has been decoded, so that
- * bytes after a response cannot be mistaken for the response to the next request.
+ * belongs. Bytes that belong to no response are limited. A connection on which any byte has arrived after the end of a
+ * response is closed, because the byte can be the beginning of a head that the next response would complete.
  */
 internal class ServerConnection(
     private val decoder: ServerResponseDecoder,
     private val clock: TimeSource.WithComparableMarks,
     private val inputReceived: () -> Unit,
+    private val onUnexpectedInput: () -> Unit,
     private val onReleased: (ServerConnection) -> Unit,
     private val onClosed: (ServerConnection) -> Unit,
 ) : ChannelInboundHandlerAdapter() {
@@ -61,7 +62,7 @@
     val usable: Boolean
         get() {
             val idleStart = idleSince
-            return channel.isActive && reusable && (idleStart == null || idleStart.elapsedNow() < idleLimit)
+            return channel.isActive && reusable && !decoder.unexpectedInput && (idleStart == null || idleStart.elapsedNow() < idleLimit)
         }
 
     /** Whether the connection is open and read from, so that its end would be noticed. */
@@ -85,6 +86,7 @@
         interimResponses = 0
         idleSince = null
         decoder.headRequest = request.method == HttpMethod.HEAD
+        decoder.requestSent()
         val message =
             DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
@@ -131,6 +133,7 @@
 
     override fun channelReadComplete(ctx: ChannelHandlerContext) {
         releaseIfDone()
+        if (listener == null && decoder.unexpectedInput) discardUnexpectedInput()
     }
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
@@ -147,8 +150,8 @@
         decoder.partDecoded()
         val receiver = listener
         when {
+            receiver == null || ended -> discardUnexpectedInput()
             message.decoderResult().isFailure -> decodingFailed(message.decoderResult().cause())
-            receiver == null || ended -> discard()
             else -> deliver(message, receiver)
         }
     }
@@ -208,6 +211,7 @@
             dropping = false
         } else {
             ended = true
+            decoder.responseEnded()
             receiver.responseEnded()
         }
     }
@@ -230,10 +234,20 @@
 
     private fun releaseIfDone() {
         if (!ended || listener == null) return
-        if (!written && reusable) return
+        if (!written && reusable && !decoder.unexpectedInput) return
         listener = null
         idleSince = clock.markNow()
-        if (reusable && channel.isActive) onReleased(this) else channel.close()
+        when {
+            decoder.unexpectedInput -> discardUnexpectedInput()
+            reusable && channel.isActive -> onReleased(this)
+            else -> channel.close()
+        }
+    }
+
+    private fun discardUnexpectedInput() {
+        if (!channel.isOpen) return
+        onUnexpectedInput()
+        discard()
     }
 
     private fun discard() {
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/ServerConnectionPool.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/ServerConnectionPool.kt
@@ -17,10 +17,11 @@
 
 /** The connection pool of this VM for one incarnation of a backend server. */
 internal class ServerConnectionPool(
-    server: RegisteredServer,
+    private val server: RegisteredServer,
     private val loop: EventLoop,
     private val clock: TimeSource.WithComparableMarks,
     private val inputReceived: () -> Unit,
+    private val onUnexpectedInput: (RegisteredServer) -> Unit = {},
 ) {
     private val address = server.address.substringBeforeLast(':') to server.address.substringAfterLast(':').toInt()
     private val idle = ArrayDeque<ServerConnection>()
@@ -66,7 +67,15 @@
                     object : ChannelInitializer<Channel>() {
                         override fun initChannel(channel: Channel) {
                             val decoder = ServerResponseDecoder()
-                            val created = ServerConnection(decoder, clock, inputReceived, ::onReleased, ::onClosed)
+                            val created =
+                                ServerConnection(
+                                    decoder,
+                                    clock,
+                                    inputReceived,
+                                    { onUnexpectedInput(server) },
+                                    ::onReleased,
+                                    ::onClosed,
+                                )
                             connection = created
                             channel.pipeline().addLast(HttpRequestEncoder(), decoder, created)
                         }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/ServerResponseDecoder.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/ServerResponseDecoder.kt
@@ -8,7 +8,13 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
 
-/** Decodes responses of backend servers; the response to a HEAD request has no body. */
+/**
+ * Decodes responses of backend servers; the response to a HEAD request has no body.
+ *
+ * Bytes that arrive while no response is expected can be part of a head. The decoder keeps such a part, whether as
+ * buffered bytes or as decoded lines, and would complete it with the head of the next response. [unexpectedInput]
+ * therefore counts bytes by their position, not by what has been decoded from them.
+ */
 internal class ServerResponseDecoder :
     HttpResponseDecoder(
         HttpDecoderConfig()
@@ -19,6 +25,12 @@
     /** Whether the request in flight has method HEAD. */
     var headRequest = false
 
+    /** Whether bytes have arrived before a request was sent or after the end of its response. */
+    var unexpectedInput = false
+        private set
+
+    private var responseExpected = false
+
     /** Bytes received since the last decoded part of a response. */
     private var undecodedBytes = 0L
 
@@ -26,7 +38,10 @@
         context: ChannelHandlerContext,
         message: Any,
     ) {
-        if (message is ByteBuf) undecodedBytes += message.readableBytes()
+        if (message is ByteBuf) {
+            undecodedBytes += message.readableBytes()
+            if (!responseExpected && message.isReadable) unexpectedInput = true
+        }
         super.channelRead(context, message)
         if (undecodedBytes > MAXIMUM_UNDECODED_BYTES && context.channel().isOpen) {
             context.fireExceptionCaught(TooLongFrameException("$undecodedBytes bytes without a part of a response"))
@@ -38,6 +53,17 @@
         undecodedBytes = 0
     }
 
+    /** Called when a request is sent. */
+    fun requestSent() {
+        responseExpected = true
+    }
+
+    /** Called for the last part of the response to the request that was sent. */
+    fun responseEnded() {
+        responseExpected = false
+        if (actualReadableBytes() > 0) unexpectedInput = true
+    }
+
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean {
         val status = (message as? HttpResponse)?.status()?.code()
         val final = status == null || status >= FIRST_FINAL_STATUS
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/GatewayEvents.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/GatewayEvents.kt
@@ -80,6 +80,13 @@
             "a server's connection ended during a request; carries whether it counts as a crash and the suspect parts",
         )
 
+    val UNEXPECTED_INPUT =
+        LogEvent(
+            3062,
+            "gateway_server_unexpected_input",
+            "a connection to a server was closed because bytes arrived on it that belong to no request",
+        )
+
     /** Every event of the gateway. */
     val ALL =
         listOf(
@@ -118,5 +125,6 @@
             PRUNING_FAILED,
             REQUEST_BLOCKED,
             SERVER_CRASHED,
+            UNEXPECTED_INPUT,
         )
 }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/InstrumentedRequestLog.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/InstrumentedRequestLog.kt
@@ -3,6 +3,7 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.tarragonport.api.error.ErrorKind
 import io.tarragonport.api.event.LogEvent
+import io.tarragonport.api.gateway.RegisteredServer
 import io.tarragonport.daemon.gateway.ingress.CallerRequest
 import io.tarragonport.daemon.gateway.ingress.CloseReason
 import kotlin.time.Duration
@@ -61,6 +62,9 @@
         "ms_since_closing" to sinceClosing.inWholeMilliseconds,
     )
 
+    override fun unexpectedInput(server: RegisteredServer) =
+        logEvent(GatewayEvents.UNEXPECTED_INPUT, "server" to server.id)
+
     override fun connectionFailed(cause: Throwable) =
         logEvent(GatewayEvents.CALLER_CONNECTION_FAILED, "reason" to cause.message)
 
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/RequestLog.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/RequestLog.kt
@@ -2,6 +2,7 @@
 
 import io.tarragonport.api.error.ErrorKind
 import io.tarragonport.api.event.LogEvent
+import io.tarragonport.api.gateway.RegisteredServer
 import io.tarragonport.daemon.gateway.ingress.CallerRequest
 import io.tarragonport.daemon.gateway.ingress.CloseReason
 import kotlin.time.Duration
@@ -43,6 +44,9 @@
         sinceClosing: Duration,
     )
 
+    /** Logs that a connection to [server] was closed because bytes arrived on it that belong to no request. */
+    fun unexpectedInput(server: RegisteredServer)
+
     /** Logs that the connection to a caller failed. */
     fun connectionFailed(cause: Throwable)
 }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/TrafficState.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/TrafficState.kt
@@ -46,7 +46,7 @@
     val serverTable = ServerTable(clock)
     val selector = ServerSelector(serverTable, settings.failureDomain)
     val prompts = PromptProfile()
-    val pools = ConnectionPools(loop, clock, ::inputReceived)
+    val pools = ConnectionPools(loop, clock, ::inputReceived, log::unexpectedInput)
     val queue = RequestQueue<Exchange>()
     val crashes = CrashGuard(clock, sharing = crashSharing)
     val crashDetector = CrashDetector(loop, pools, crashes, log)
--- a/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/ServerConnectionPoolTest.kt
+++ b/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/ServerConnectionPoolTest.kt
@@ -87,6 +87,9 @@
                 it.close()
             },
             Case("bytes that belong to no request", reused = false) { it.send(RESPONSE) },
+            Case("the beginning of a status line", reused = false) { it.send("HTTP/1.1 421 M") },
+            Case("a status line", reused = false) { it.send("HTTP/1.1 503 Busy\r\n") },
+            Case("an empty line", reused = false) { it.send("\r\n") },
         )
 
     @AfterEach
