Fail a request whose response head contains another status line

If the beginning of an earlier refusal arrives after the next request was sent, it is in the place of the expected response, and the position of the bytes says nothing. "HTTP/1.1 503 " and the response's "HTTP/1.1 200 OK" were read as a refusal with the id and signature of the response, and the request was reported as not run although it had run.

Change: a head with a status line inside its reason phrase or a header's value fails the request as one that may have run. A beginning that ends elsewhere gives an invalid status line, name or length, which the decoder already rejects.

Evidence: GatewayStrayBytesTest, "bytes before a response make no statement about its request", cuts three refusals at every byte, with two servers.

--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/ServerConnection.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/ServerConnection.kt
@@ -180,6 +180,10 @@
         response: HttpResponse,
         receiver: ResponseListener,
     ): Boolean {
+        if (ResponseHeadCheck.isSpliced(response)) {
+            fail("response head contains another status line")
+            return false
+        }
         if (response.status().code() < FIRST_FINAL_STATUS) {
             dropping = true
             if (++interimResponses >
--- a/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/GatewayStrayBytesTest.kt
+++ b/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/GatewayStrayBytesTest.kt
@@ -8,7 +8,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
-/** A faulty server writes the first bytes of an earlier refusal behind a complete response, cut at any byte. */
+/** A faulty server writes the first bytes of an earlier refusal between two responses, cut at any byte. */
 class GatewayStrayBytesTest {
     private val fixture = GatewayFixture()
 
@@ -81,9 +81,39 @@
         assertTrue(fixture.eventCount("gateway_server_unexpected_input") > 0, "the bytes are not reported")
     }
 
+    /** Guards against a request that has run and is reported as not run, if the bytes arrive after it was sent. */
+    @Test
+    fun `bytes before a response make no statement about its request`() {
+        fixture.store.configure(FleetSamples.configuration())
+        var stray = ""
+        val runs = mutableMapOf<String?, Int>()
+        listOf("s1", "s2").forEach { id ->
+            fixture.startServer(FleetSamples.PLAIN, id) { call, socket ->
+                runs.merge(ServerResponses.requestId(call), 1, Int::plus)
+                socket.getOutputStream().send(stray)
+                Thread.sleep(UNTIL_READ_MS)
+                socket.getOutputStream().send(ServerResponses.plain(call, "done"))
+            }
+        }
+        fixture.start()
+        val failures = mutableListOf<String>()
+        refusals.forEach { refusal ->
+            for (length in 1..refusal.text.length) {
+                stray = refusal.text.take(length)
+                val status = fixture.send("/post/a").statusCode()
+                if (status != OK && status != UNKNOWN) failures += "${refusal.title}, ${stray.takeLast(20)}: $status"
+            }
+        }
+        assertEquals(emptyList(), failures)
+        assertTrue(runs.values.all { it == 1 }, "a request ran more than once")
+    }
+
     private companion object {
         const val FAULTY = "/post/faulty"
         const val OK = 200
+
+        /** The caller learns that the request may have run. */
+        const val UNKNOWN = 502
         const val UNTIL_READ_MS = 3L
 
         /** Until the stray bytes have been read as well. */
