Send nothing more to a server whose response says that it leaves

Cause: nothing read the header. A leaving server was known by its entry in the object store only, which cannot change while the store is away.

Change: the header is decoded at the boundary and believed if it is in a response to the request that was sent (not in a 421, which another server at the address wrote). From then on this incarnation of the server gets no new request: no first attempt, retry, queued request or resumed stream, as they all pass the same selection. The announcement outlives the server's registration, because an entry that expires in an outage can return. Related paths that know a leaving server follow it: the end of its connections is no crash, and it is not reserved for short prompts. Event 3016 reports it.

--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerTable.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerTable.kt
@@ -5,6 +5,7 @@
 import io.tarragonport.api.gateway.RegisteredServer
 import io.tarragonport.api.id.BackendServerId
 import io.tarragonport.api.id.ServiceId
+import kotlin.time.ComparableTimeMark
 import kotlin.time.TimeSource
 
 /**
@@ -19,6 +20,7 @@
     private val trackedServers = mutableMapOf<BackendServerId, TrackedServer>()
     private var byService: Map<ServiceId, List<TrackedServer>> = emptyMap()
     private var engineLimits: Map<ServiceId, EngineLimits> = emptyMap()
+    private val leavingAnnouncements = LeavingAnnouncements()
     private var shortPromptIds: Map<ServiceId, Set<BackendServerId>> = emptyMap()
 
     /** Servers of [service], including leaving ones. */
@@ -50,13 +52,24 @@
         ended.forEach { trackedServers -= it.registered.id }
         val now = clock.markNow()
         registered.forEach { server ->
-            trackedServers.getOrPut(server.id) { TrackedServer(server, now).also(::limitCache) }.registered = server
+            trackedServers.getOrPut(server.id) { track(server, now) }.registered = server
         }
         byService = trackedServers.values.groupBy { it.registered.service }
         assignShortPromptEngines()
         return ended
     }
 
+    /**
+     * Records that a response of [server] said that it leaves; returns false if that was already known. The incarnation
+     * that [server] tracks gets no new requests from now on, even if its registration disappears and returns.
+     */
+    fun announceLeaving(server: TrackedServer): Boolean {
+        if (!leavingAnnouncements.add(server.registered)) return false
+        server.leavingAnnounced = true
+        assignShortPromptEngines()
+        return true
+    }
+
     /** Load of this VM on each server with requests of this VM in flight. */
     fun localLoads(): Map<BackendServerId, ServerLoad> =
         trackedServers
@@ -72,7 +85,7 @@
         shortPromptIds =
             byService
                 .filterKeys { it in engineLimits }
-                .mapValues { (_, group) -> EngineGroups.shortPromptEngines(group.filter { !it.registered.leaving }) }
+                .mapValues { (_, group) -> EngineGroups.shortPromptEngines(group.filter { !it.leaving }) }
         trackedServers.values.forEach {
             it.forShortPrompts =
                 it.registered.id in shortPromptEngines(it.registered.service)
@@ -90,6 +103,14 @@
             current.service != before.service
     }
 
+    private fun track(
+        server: RegisteredServer,
+        now: ComparableTimeMark,
+    ) = TrackedServer(server, now).also {
+        limitCache(it)
+        it.leavingAnnounced = server in leavingAnnouncements
+    }
+
     private fun limitCache(tracked: TrackedServer) {
         engineLimits[tracked.registered.service]?.let { tracked.cache.capacityTokens = it.cacheTokens }
     }
--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/TrackedServer.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/TrackedServer.kt
@@ -14,6 +14,13 @@
     var registered: RegisteredServer = registered
         internal set
 
+    /** Whether a response of this incarnation of the server said that it leaves. */
+    var leavingAnnounced = false
+        internal set
+
+    /** Whether the server must get no new requests, by its registration or by its own responses. */
+    val leaving: Boolean get() = registered.leaving || leavingAnnounced
+
     /** Hash of the server's id for rendezvous hashing. */
     val idHash: Long = RendezvousHash.of(registered.id.value)
 
@@ -50,7 +57,7 @@
     val totalUnprocessedTokens: Long get() = unprocessedTokens + otherVmLoad.unprocessedTokens
 
     /** Whether the server may receive requests at [now]. */
-    fun open(now: ComparableTimeMark): Boolean = !registered.leaving && reachable(now)
+    fun open(now: ComparableTimeMark): Boolean = !leaving && reachable(now)
 
     /** Whether the server is reachable as far as known and has had no recent failures. */
     fun healthy(now: ComparableTimeMark): Boolean = reachable(now) && health.penalty(now) < HEALTHY_PENALTY_LIMIT
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Attempt.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Attempt.kt
@@ -128,6 +128,7 @@
             fail(AttemptOutcome.BROKEN, "unsigned status $status that does not state that the request was not run")
             return false
         }
+        if (metadata.leaving) listener.serverLeaving(this)
         streaming = success && expectsStream && isEventStream(response)
         if (!streaming) body = Unpooled.buffer()
         return true
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/AttemptListener.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/AttemptListener.kt
@@ -5,6 +5,9 @@
 
 /** Receives the result of one attempt to run a request on a backend server. */
 internal interface AttemptListener {
+    /** A response of the attempt's server said that the server leaves; the attempt goes on. */
+    fun serverLeaving(attempt: Attempt)
+
     /** The server sent a complete response; a response with a server error status counts as a failure. */
     fun responseReceived(
         attempt: Attempt,
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Exchange.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Exchange.kt
@@ -74,6 +74,11 @@
         attempt?.setReading(true)
     }
 
+    override fun serverLeaving(attempt: Attempt) {
+        if (!state.serverTable.announceLeaving(attempt.server)) return
+        state.log.decision(GatewayEvents.SERVER_LEAVING, request, "server" to attempt.server.registered.id)
+    }
+
     override fun responseReceived(
         attempt: Attempt,
         response: CompleteResponse,
@@ -142,7 +147,7 @@
         reason: String,
     ) {
         // The end of the attempt lets queued requests run, which may have the same prompt part.
-        if (outcome == AttemptOutcome.CLOSED && !attempt.server.registered.leaving) {
+        if (outcome == AttemptOutcome.CLOSED && !attempt.server.leaving) {
             state.crashDetector.connectionClosed(request, fingerprints, attempt.server)
         }
         completeAttempt(attempt, succeeded = false)
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/GatewayEvents.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/GatewayEvents.kt
@@ -35,6 +35,8 @@
     val SERVER_GONE = LogEvent(3013, "server_gone", "a server's entry was deleted or did not reappear after an outage")
     val SERVER_REJECTED = LogEvent(3014, "server_entry_rejected", "a server entry could not be decoded")
     val SERVERS_LISTED = LogEvent(3015, "servers_listed", "all registered servers were listed from the object store")
+    val SERVER_LEAVING =
+        LogEvent(3016, "server_leaving", "a response of a server said that it leaves; it gets no new requests")
     val STORE_LOST = LogEvent(3020, "store_lost", "the platform's object store does not respond")
     val STORE_REGAINED = LogEvent(3021, "store_regained", "the platform's object store responds again")
     val HISTORY_GONE =
@@ -104,6 +106,7 @@
             SERVER_GONE,
             SERVER_REJECTED,
             SERVERS_LISTED,
+            SERVER_LEAVING,
             STORE_LOST,
             STORE_REGAINED,
             HISTORY_GONE,
--- a/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/AttemptTimeoutTest.kt
+++ b/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/AttemptTimeoutTest.kt
@@ -107,6 +107,8 @@
         val result = CompletableFuture<String>()
         private var events = 0
 
+        override fun serverLeaving(attempt: Attempt) = Unit
+
         override fun responseReceived(
             attempt: Attempt,
             response: CompleteResponse,
