Limit the number of responses to other requests on a connection

What callers saw: a faulty server that writes responses with the id of another request and no body, without end, kept a gateway busy until the request's deadline (504); the review measured 32 s of processor time in 40 s and unserved requests of another service.

Cause: responses to other requests are dropped without an end, and only the bytes of their bodies were limited.

Change: after 16 of them the request fails and the connection is closed, as for interim responses.

--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/ServerConnection.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/ServerConnection.kt
@@ -47,6 +47,7 @@
     private var expectedId: RequestId? = null
     private var dropping = false
     private var droppedBytes = 0L
+    private var droppedResponses = 0
     private var interimResponses = 0
     private var ended = false
     private var written = true
@@ -83,6 +84,7 @@
         ended = false
         written = false
         droppedBytes = 0
+        droppedResponses = 0
         interimResponses = 0
         idleSince = null
         decoder.headRequest = request.method == HttpMethod.HEAD
@@ -197,7 +199,10 @@
         dropping = metadata.requestId != null && metadata.requestId != expectedId
         if (dropping) {
             reusable = false
-            return true
+            if (++droppedResponses > MAXIMUM_DROPPED_RESPONSES) {
+                fail("more than $MAXIMUM_DROPPED_RESPONSES responses to other requests")
+            }
+            return listener != null
         }
         if (metadata.requestId != expectedId) {
             // It can belong to any earlier request on this connection, so it says nothing about this one.
@@ -283,6 +288,9 @@
         /** Servers send at most a few, such as progress notices. */
         private const val MAXIMUM_INTERIM_RESPONSES = 16
 
+        /** Servers send a few copies at most. */
+        private const val MAXIMUM_DROPPED_RESPONSES = 16
+
         /** As much as a complete response to another request can have. */
         private const val MAXIMUM_DROPPED_BYTES = 8L * 1024 * 1024
 
--- a/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/GatewayFaultyServersTest.kt
+++ b/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/GatewayFaultyServersTest.kt
@@ -100,6 +100,11 @@
             EndlessCase("body of a response to another request", "/post/a", ServerResponses.chunk("x".repeat(100))) {
                 "HTTP/1.1 200 OK\r\n${WireHeaders.REQUEST_ID}: another\r\nTransfer-Encoding: chunked\r\n\r\n"
             },
+            EndlessCase(
+                "responses to another request",
+                "/post/a",
+                "HTTP/1.1 200 OK\r\n${WireHeaders.REQUEST_ID}: another\r\nContent-Length: 0\r\n\r\n",
+            ) { "" },
             EndlessCase("body", "/post/a", ServerResponses.chunk("x".repeat(100))) {
                 ServerResponses.streamHead(it).replace("text/event-stream", "text/plain")
             },
