Limit the bytes of incomplete responses of all requests together

A faulty server sent bytes without end, the process kept them and ran out of memory, and other callers' requests ended with it.

Cause: each response is limited (a body to 8 MiB, an event to 1 MiB), their sum was not. 24 requests to one faulty server held 150,994,944 bytes at a time, close to the heap of deploy/system.toml (160 MB).

Change: BufferBudget limits the sum to 32 MiB. If it is exceeded, the response with the most bytes fails, so that small responses of sound servers are not affected.

That a process ends for lack of memory was not played.

--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/stream/EventSplitter.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/stream/EventSplitter.kt
@@ -18,11 +18,14 @@
     var lastId: String? = null
         private set
 
+    /** Number of buffered bytes of an incomplete event. */
+    val pendingBytes: Int get() = pending.size()
+
     /** Whether bytes of an incomplete event are buffered. */
-    val unfinished: Boolean get() = pending.size() > 0
+    val unfinished: Boolean get() = pendingBytes > 0
 
     /** Whether the incomplete event is longer than [MAX_EVENT_BYTES], so that the stream must be given up. */
-    val oversized: Boolean get() = pending.size() > MAX_EVENT_BYTES
+    val oversized: Boolean get() = pendingBytes > MAX_EVENT_BYTES
 
     /** Adds [bytes] and returns the events completed by them, or null. */
     fun add(bytes: ByteArray): ByteArray? {
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Attempt.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Attempt.kt
@@ -12,6 +12,8 @@
 import io.tarragonport.core.gateway.attempt.AttemptOutcome
 import io.tarragonport.core.gateway.balance.ServerChoice
 import io.tarragonport.core.gateway.balance.TrackedServer
+import io.tarragonport.core.gateway.overload.BufferBudget
+import io.tarragonport.core.gateway.overload.BufferHolder
 import io.tarragonport.core.gateway.stream.EventSplitter
 import io.tarragonport.daemon.gateway.egress.OutgoingRequest
 import io.tarragonport.daemon.gateway.egress.ResponseListener
@@ -33,9 +35,11 @@
     private val loop: EventLoop,
     private val expectsStream: Boolean,
     private val limits: AttemptLimits,
+    private val buffers: BufferBudget,
     private val now: () -> ComparableTimeMark,
     private val listener: AttemptListener,
-) : ResponseListener {
+) : ResponseListener,
+    BufferHolder {
     val server: TrackedServer get() = choice.server
     val tokensToProcess: Int get() = choice.tokensToProcess
 
@@ -64,6 +68,7 @@
     private var streaming = false
     private var notExecuted = false
     private var finished = false
+    private var heldBytes = 0
     private var timeout: ScheduledFuture<*>? = null
     private var timeoutAt: ComparableTimeMark? = null
 
@@ -176,6 +181,7 @@
 
     private fun addToStream(bytes: ByteBuf): Boolean {
         val events = splitter.add(ByteBufUtil.getBytes(bytes))
+        if (!hold(splitter.pendingBytes)) return false
         if (splitter.oversized) {
             fail(AttemptOutcome.BROKEN, "event exceeds ${EventSplitter.MAX_EVENT_BYTES} bytes")
             return false
@@ -194,7 +200,23 @@
             return false
         }
         collected.writeBytes(bytes)
-        return true
+        return hold(collected.readableBytes())
+    }
+
+    /** Records that the attempt buffers [bytes]; returns false if it had to discard them. */
+    private fun hold(bytes: Int): Boolean {
+        if (bytes != heldBytes) {
+            heldBytes = bytes
+            buffers.update(this, bytes)
+        }
+        return !finished
+    }
+
+    override fun discardBuffered() {
+        heldBytes = 0
+        if (finished) return
+        fail(AttemptOutcome.BROKEN, "too many bytes of incomplete responses are buffered")
+        connection?.cancel()
     }
 
     private fun isEventStream(response: HttpResponse): Boolean =
@@ -242,6 +264,7 @@
 
     private fun cleanUp() {
         timeout?.cancel(false)
+        hold(0)
         body?.release()
         body = null
     }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Exchange.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Exchange.kt
@@ -195,7 +195,7 @@
 
     private fun send(choice: ServerChoice) {
         val server = choice.server
-        val newAttempt = Attempt(choice, state.loop, route.repeatability.streams, attemptLimits(), state::now, this)
+        val newAttempt = Attempt(choice, state.loop, route.repeatability.streams, attemptLimits(), state.responseBuffers, state::now, this)
         attempt = newAttempt
         server.recordSent(choice.tokensToProcess)
         state.usage.requestSent(service, choice.tokensToProcess)
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/TrafficState.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/TrafficState.kt
@@ -9,6 +9,7 @@
 import io.tarragonport.core.gateway.balance.ServerSelector
 import io.tarragonport.core.gateway.balance.ServerTable
 import io.tarragonport.core.gateway.overload.ArrivalClock
+import io.tarragonport.core.gateway.overload.BufferBudget
 import io.tarragonport.core.gateway.route.ActiveConfiguration
 import io.tarragonport.core.gateway.waiting.RequestQueue
 import io.tarragonport.core.retry.RetryBudget
@@ -48,6 +49,7 @@
     val prompts = PromptProfile()
     val pools = ConnectionPools(loop, clock, ::inputReceived, log::unexpectedInput)
     val queue = RequestQueue<Exchange>()
+    val responseBuffers = BufferBudget(MAXIMUM_BUFFERED_RESPONSE_BYTES)
     val crashes = CrashGuard(clock, sharing = crashSharing)
     val crashDetector = CrashDetector(loop, pools, crashes, log)
     val arrivals = ArrivalClock(clock)
@@ -102,6 +104,9 @@
     }
 
     private companion object {
+        /** A fifth of the heap in `deploy/system.toml`, and four responses of the largest size that is buffered. */
+        const val MAXIMUM_BUFFERED_RESPONSE_BYTES = 32L * 1024 * 1024
+
         /** Half of the shortest time for which a server is suspended. */
         val QUEUE_POLL_INTERVAL: Duration = 25.milliseconds
 
--- a/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/AttemptTimeoutTest.kt
+++ b/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/AttemptTimeoutTest.kt
@@ -14,6 +14,7 @@
 import io.tarragonport.core.gateway.attempt.AttemptOutcome
 import io.tarragonport.core.gateway.balance.ServerChoice
 import io.tarragonport.core.gateway.balance.TrackedServer
+import io.tarragonport.core.gateway.overload.BufferBudget
 import io.tarragonport.daemon.gateway.egress.OutgoingRequest
 import io.tarragonport.daemon.gateway.egress.ServerConnectionPool
 import io.tarragonport.daemon.gateway.exchange.Attempt
@@ -88,6 +89,7 @@
                     loop,
                     expectsStream = true,
                     AttemptLimits(EVENT_TIMEOUT, EVENT_TIMEOUT),
+                    BufferBudget(1_000_000),
                     TimeSource.Monotonic::markNow,
                     listener,
                 )
--- a/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/GatewayFaultyServersTest.kt
+++ b/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/GatewayFaultyServersTest.kt
@@ -5,6 +5,8 @@
 import org.junit.jupiter.api.AfterEach
 import java.io.IOException
 import java.net.Socket
+import java.util.Collections
+import kotlin.concurrent.thread
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -29,6 +31,15 @@
         val start: (ReceivedCall) -> String,
     )
 
+    /** [responses] requests at a time, for each of which the server sends [start] and [bytes] more, and no end. */
+    private data class ConcurrentCase(
+        val title: String,
+        val path: String,
+        val responses: Int,
+        val bytes: Int,
+        val start: (ReceivedCall) -> String,
+    )
+
     private fun withoutId(response: String) = response.replace(Regex("${WireHeaders.REQUEST_ID}: .*\r\n"), "")
 
     private val statements =
@@ -155,7 +166,53 @@
         }
     }
 
+    private val concurrent =
+        listOf(
+            ConcurrentCase("bodies", "/post/a", responses = 24, bytes = 6 * MEBIBYTE) {
+                ServerResponses.plain(it, "").replace("Content-Length: 0", "Content-Length: ${100 * MEBIBYTE}")
+            },
+            ConcurrentCase("events", "/chat/a", responses = 70, bytes = MEBIBYTE - BLOCK_BYTES) {
+                ServerResponses.streamHead(it).replace("Transfer-Encoding: chunked\r\n", "") + "data: "
+            },
+        )
+
+    /** Guards against a process that runs out of memory, because each response is within its limit and their sum is not. */
+    @Test
+    fun `incomplete responses of many requests are buffered within one limit`() {
+        fixture.store.configure(FleetSamples.configuration())
+        var current = concurrent.first()
+        val open = Collections.synchronizedSet(mutableSetOf<Socket>())
+        listOf(FleetSamples.PLAIN, FleetSamples.STREAMS).forEach { service ->
+            fixture.startServer(service, "server-$service") { call, socket ->
+                open += socket
+                try {
+                    socket.getOutputStream().send(current.start(call))
+                    repeat(current.bytes / BLOCK_BYTES) { socket.getOutputStream().send("x".repeat(BLOCK_BYTES)) }
+                    socket.getInputStream().read()
+                } finally {
+                    open -= socket
+                }
+            }
+        }
+        fixture.start()
+        concurrent.forEach { case ->
+            current = case
+            val callers = List(case.responses) { thread { fixture.send(case.path) } }
+            Thread.sleep(UNTIL_BUFFERED_MS)
+            val buffered = open.size.toLong() * case.bytes
+            assertTrue(buffered in 1..MAXIMUM_BUFFERED_BYTES, "${case.title}: $buffered bytes are buffered")
+            callers.forEach { it.join() }
+        }
+    }
+
     private companion object {
+        const val MEBIBYTE = 1024 * 1024
+
+        /** Less than the time after which the fixture's callers give up. */
+        const val UNTIL_BUFFERED_MS = 1_500L
+
+        /** A quarter of the heap in `deploy/system.toml`. */
+        const val MAXIMUM_BUFFERED_BYTES = 40L * MEBIBYTE
         const val OK = 200
         const val NOT_RUN = 503
 
