Answer every request of a gateway that stops

In a planned stop, requests that came late in the grace period were taken and passed on, and at its end they were cut with no answer, among them requests that may not be repeated.

Cause: after a stop signal a kept connection that is in use stays open until its response is complete. A request that arrives on it meanwhile was passed on whatever its deadline. When the time was over, the process ended without a word to the callers of requests that were still waiting or running.

Change: once connections are no longer accepted, a request is passed on only if its deadline is before the end of the process; otherwise it gets 503, which says that it has not run, and may return at once, as the other VMs accept connections. What is not complete at the end gets its answer: 503 if no server can have run it, 502 otherwise; a stream that has begun is aborted. Event 3009 carries their number.

AttemptLimits.of is moved out of Exchange without a change.

--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/LeavingAnnouncements.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/LeavingAnnouncements.kt
@@ -27,8 +27,7 @@
 
     operator fun contains(server: RegisteredServer): Boolean = incarnation(server) in announced
 
-    private fun incarnation(server: RegisteredServer) =
-        Incarnation(server.id, server.startedAtMs, server.address)
+    private fun incarnation(server: RegisteredServer) = Incarnation(server.id, server.startedAtMs, server.address)
 
     private companion object {
         /** More than the servers of the largest deployment. */
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/Gateway.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/Gateway.kt
@@ -71,19 +71,26 @@
     /**
      * Shuts down gracefully. The process first reports that it is not ready and keeps accepting connections, because
      * the platform removes it only after two such responses. It then closes idle connections and waits for requests in
-     * flight to complete.
+     * flight to complete. A request that arrives meanwhile is refused unless its deadline is before the end of the
+     * process. What is not complete at the end gets an error response, so that no caller is left without one.
      */
     suspend fun stop() {
         log.logEvent(GatewayEvents.GATEWAY_DRAINING, "seconds" to activeSettings.stopSeconds)
         val shutdownTime = activeSettings.stopSeconds.seconds - STOP_RESERVE
         loop.execute { state.draining = true }
-        delay(minOf(ACCEPT_AFTER_STOP_SIGNAL, shutdownTime / 2))
+        val acceptTime = minOf(ACCEPT_AFTER_STOP_SIGNAL, shutdownTime / 2)
+        delay(acceptTime)
+        val remaining = shutdownTime - acceptTime - RESPONSE_TIME
         loop.execute {
+            state.endsAt = clock.markNow() + remaining
             frontend.stop()
             requestHandler.closeConnections()
         }
-        val finished =
-            withTimeoutOrNull(shutdownTime - minOf(ACCEPT_AFTER_STOP_SIGNAL, shutdownTime / 2)) { awaitRequests() }
+        val finished = withTimeoutOrNull(remaining) { awaitRequests() }
+        if (finished == null) {
+            loop.execute(requestHandler::endRequests)
+            withTimeoutOrNull(RESPONSE_TIME) { awaitRequests() }
+        }
         control.stop()
         log.logEvent(GatewayEvents.GATEWAY_STOPPED, "complete" to (finished != null))
     }
@@ -133,6 +140,9 @@
 
         /** Part of the shutdown time reserved for releasing leases and ending the process. */
         val STOP_RESERVE: Duration = 800.milliseconds
+
+        /** Time for the last responses to reach their callers. */
+        val RESPONSE_TIME: Duration = 100.milliseconds
         val STOP_POLL: Duration = 20.milliseconds
     }
 }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/ServerConnection.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/ServerConnection.kt
@@ -63,7 +63,10 @@
     val usable: Boolean
         get() {
             val idleStart = idleSince
-            return channel.isActive && reusable && !decoder.unexpectedInput && (idleStart == null || idleStart.elapsedNow() < idleLimit)
+            return channel.isActive &&
+                reusable &&
+                !decoder.unexpectedInput &&
+                (idleStart == null || idleStart.elapsedNow() < idleLimit)
         }
 
     /** Whether the connection is open and read from, so that its end would be noticed. */
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Exchange.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/Exchange.kt
@@ -154,11 +154,7 @@
         suspendServer(attempt.server, outcome)
         if (retry(attempt, outcome, reason)) return
         finish("failed", "server" to attempt.server.registered.id, "reason" to reason, "sent" to history.sent)
-        when {
-            responseStarted -> caller.abort()
-            history.mayHaveExecuted > 0 -> respondWithError(ErrorKind.BACKEND_FAILED, null)
-            else -> respondWithError(ErrorKind.NO_BACKEND_SERVER, RETRY_AFTER_NO_SERVER)
-        }
+        endWithoutServer()
     }
 
     override fun dispatch(): Boolean {
@@ -195,7 +191,9 @@
 
     private fun send(choice: ServerChoice) {
         val server = choice.server
-        val newAttempt = Attempt(choice, state.loop, route.repeatability.streams, attemptLimits(), state.responseBuffers, state::now, this)
+        val limits = AttemptLimits.of(route, deadline - state.now())
+        val streams = route.repeatability.streams
+        val newAttempt = Attempt(choice, state.loop, streams, limits, state.responseBuffers, state::now, this)
         attempt = newAttempt
         server.recordSent(choice.tokensToProcess)
         state.usage.requestSent(service, choice.tokensToProcess)
@@ -230,14 +228,6 @@
         return OutgoingRequest(request.metadata.requestId, request.method, request.target, headers, request.body)
     }
 
-    private fun attemptLimits(): AttemptLimits {
-        if (!route.repeatability.repeatable) return AttemptLimits(null, null)
-        val remaining = deadline - state.now()
-        val first = maxOf(route.latencyObjective * RESPONSE_TIMEOUT_FACTOR, MINIMUM_TIMEOUT)
-        val eventTimeout = route.maximumEventGap?.let { maxOf(it * EVENT_TIMEOUT_FACTOR, MINIMUM_TIMEOUT) }
-        return AttemptLimits(first.takeIf { it < remaining * MAXIMUM_TIMEOUT_SHARE }, eventTimeout)
-    }
-
     private fun submit() {
         val remaining = queueDeadline - state.now()
         if (remaining <= Duration.ZERO) {
@@ -251,11 +241,7 @@
     private fun failWithoutServer() {
         if (done) return
         finish("no_server", "sent" to history.sent)
-        when {
-            responseStarted -> caller.abort()
-            history.mayHaveExecuted > 0 -> respondWithError(ErrorKind.BACKEND_FAILED, null)
-            else -> respondWithError(ErrorKind.NO_BACKEND_SERVER, RETRY_AFTER_NO_SERVER)
-        }
+        endWithoutServer()
     }
 
     private fun retry(
@@ -288,13 +274,37 @@
         state.queue.remove(this)
         finish("timed_out", "server" to attempt?.server?.registered?.id, "sent" to sent)
         cancelAttempt()
-        when {
-            responseStarted -> caller.abort()
-            sent -> respondWithError(ErrorKind.DEADLINE_EXCEEDED, null)
-            else -> respondWithError(ErrorKind.DEADLINE_UNREACHABLE, null)
-        }
+        endWithoutResult(sent, ErrorKind.DEADLINE_EXCEEDED, ErrorKind.DEADLINE_UNREACHABLE, null)
+    }
+
+    override fun processEnding() {
+        if (done) return
+        val sent = attempt?.sentAt != null || history.mayHaveExecuted > 0
+        finish("process_ended", "server" to attempt?.server?.registered?.id, "sent" to sent)
+        cancelAttempt()
+        endWithoutResult(sent, ErrorKind.BACKEND_FAILED, ErrorKind.DRAINING, Duration.ZERO)
+    }
+
+    /** Responds with [unknown] if a server may have run the request, otherwise with [notRun]. */
+    private fun endWithoutResult(
+        mayHaveRun: Boolean,
+        unknown: ErrorKind,
+        notRun: ErrorKind,
+        retryAfter: Duration?,
+    ) = when {
+        responseStarted -> caller.abort()
+        mayHaveRun -> respondWithError(unknown, null)
+        else -> respondWithError(notRun, retryAfter)
     }
 
+    private fun endWithoutServer() =
+        endWithoutResult(
+            history.mayHaveExecuted > 0,
+            ErrorKind.BACKEND_FAILED,
+            ErrorKind.NO_BACKEND_SERVER,
+            RETRY_AFTER_NO_SERVER,
+        )
+
     private fun suspendServer(
         server: TrackedServer,
         outcome: AttemptOutcome,
@@ -374,22 +384,6 @@
         /** Errors that are returned only after a server may have started to run the request. */
         val MAY_HAVE_EXECUTED = setOf(ErrorKind.BACKEND_FAILED, ErrorKind.DEADLINE_EXCEEDED)
 
-        /** Timeout for the response or first event of a repeatable request, as a multiple of the latency objective. */
-        const val RESPONSE_TIMEOUT_FACTOR = 3
-
-        /**
-         * Timeout between events after which a stream is resumed on another server, as a multiple of the route's
-         * maximum event gap.
-         */
-        const val EVENT_TIMEOUT_FACTOR = 3
-        val MINIMUM_TIMEOUT: Duration = 800.milliseconds
-
-        /**
-         * A response timeout above this share of the remaining time is not set, because a retry after it could not
-         * complete before the deadline.
-         */
-        const val MAXIMUM_TIMEOUT_SHARE = 0.6
-
         /** Share of a request's total time that it may be queued before it is refused with a `Retry-After` header. */
         const val MAXIMUM_QUEUE_SHARE = 0.25
 
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/GatewayEvents.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/GatewayEvents.kt
@@ -28,6 +28,8 @@
             "caller_connections_closed",
             "idle connections were closed after the stop signal; carries their number and that of those in use",
         )
+    val REQUESTS_ENDED =
+        LogEvent(3009, "gateway_requests_ended", "the process ends; carries how many requests were not complete")
     val CONFIGURATION_APPLIED = LogEvent(3010, "gateway_configuration_applied", "a configuration was applied")
     val CONFIGURATION_REJECTED =
         LogEvent(3011, "gateway_configuration_rejected", "a configuration could not be decoded; the active one is kept")
@@ -100,6 +102,7 @@
             CALLER_CONNECTION_FAILED,
             INPUT_DISCARDED,
             CONNECTIONS_CLOSED,
+            REQUESTS_ENDED,
             CONFIGURATION_APPLIED,
             CONFIGURATION_REJECTED,
             SERVER_ADDED,
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/GatewayRequestHandler.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/GatewayRequestHandler.kt
@@ -68,6 +68,13 @@
         state.log.connectionsClosed(closed.size, inUse.size)
     }
 
+    /** Sends every request in flight its response, because the process ends. */
+    fun endRequests() {
+        val unanswered = connections.mapNotNull { it.inFlightRequest }
+        unanswered.forEach { it.processEnding() }
+        state.log.requestsEnded(unanswered.size)
+    }
+
     /** Whether any caller connection is not idle: it has a request to receive or answer, or is closing. */
     val busy: Boolean get() = connections.any { !it.idle }
 
@@ -80,6 +87,9 @@
         if (service == null || state.service(service) == null) {
             return refuse(request, caller, ErrorKind.NO_BACKEND_SERVER, decision.version)
         }
+        if (state.endsBefore(request.receivedAt + timeLimit(request, decision))) {
+            return refuse(request, caller, ErrorKind.DRAINING, decision.version, RETRY_ELSEWHERE)
+        }
         val fingerprints = CrashFingerprints(request)
         state.crashes.blocking(fingerprints)?.let { blocking ->
             state.log.decision(GatewayEvents.REQUEST_BLOCKED, request, "fingerprint" to blocking, "sent" to 0)
@@ -88,15 +98,20 @@
         return Exchange(state, request, fingerprints, caller, decision, service).also { it.start() }
     }
 
+    private fun timeLimit(
+        request: CallerRequest,
+        decision: RouteDecision.Serve,
+    ): Duration = minOf(request.metadata.callerTimeout ?: decision.route.timeout, decision.route.timeout)
+
     private fun refuse(
         request: CallerRequest,
         caller: CallerChannel,
         kind: ErrorKind,
         version: ConfigurationVersion?,
+        retryAfter: Duration? = RETRY_AFTER.takeIf { kind.status == SERVICE_UNAVAILABLE },
     ): InFlightRequest {
         state.log.decision(GatewayEvents.REFUSED, request, "kind" to kind.code, "configuration" to version)
         request.body.release()
-        val retryAfter = RETRY_AFTER.takeIf { kind.status == SERVICE_UNAVAILABLE }
         val errorResponse = ErrorResponse.of(kind, ExecutionStatus.NO, request.metadata.requestId, retryAfter)
         caller.respond(errorResponse.status, errorResponse.headers, errorResponse.body)
         return CompletedRequest
@@ -105,6 +120,8 @@
     private object CompletedRequest : InFlightRequest {
         override fun callerDisconnected() = Unit
 
+        override fun processEnding() = Unit
+
         override fun callerWritable() = Unit
     }
 
@@ -113,5 +130,8 @@
 
         /** For example, a process without a configuration receives one within about a second. */
         val RETRY_AFTER: Duration = 500.milliseconds
+
+        /** While a process shuts down, the other VMs accept connections. */
+        val RETRY_ELSEWHERE: Duration = Duration.ZERO
     }
 }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/InstrumentedRequestLog.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/InstrumentedRequestLog.kt
@@ -53,6 +53,8 @@
         inUse: Int,
     ) = logEvent(GatewayEvents.CONNECTIONS_CLOSED, "idle" to idle, "in_use" to inUse)
 
+    override fun requestsEnded(inFlight: Int) = logEvent(GatewayEvents.REQUESTS_ENDED, "in_flight" to inFlight)
+
     override fun inputDiscarded(
         reason: CloseReason,
         sinceClosing: Duration,
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/RequestLog.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/RequestLog.kt
@@ -38,6 +38,9 @@
         inUse: Int,
     )
 
+    /** Logs that the process ends and [inFlight] requests got a response before they were complete. */
+    fun requestsEnded(inFlight: Int)
+
     /** Logs that bytes of a caller were discarded because its connection was being closed for [reason]. */
     fun inputDiscarded(
         reason: CloseReason,
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/TrafficState.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/TrafficState.kt
@@ -41,6 +41,9 @@
     var configuration: ActiveConfiguration? = null
     var draining = false
 
+    /** When the process ends; null until it accepts no more connections. */
+    var endsAt: ComparableTimeMark? = null
+
     /** Number of VMs that share the servers' connections and the retry budget, including this one. */
     var liveVms = 1
 
@@ -56,6 +59,9 @@
     private var polling = false
     private val budgets = HashMap<ServiceId, RetryBudget>()
 
+    /** Whether the process ends before [deadline], so that a request with this deadline may be cut off. */
+    fun endsBefore(deadline: ComparableTimeMark): Boolean = endsAt.let { it != null && it < deadline }
+
     fun now(): ComparableTimeMark = clock.markNow()
 
     /** Notes that the traffic thread handles input; the round ends with the tasks that follow all input that is ready. */
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/CallerConnection.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/CallerConnection.kt
@@ -57,7 +57,11 @@
     /** A complete request that is handled once everything that has arrived is read, including the caller's close. */
     private var completeRequest: PartialRequest? = null
     private var reading = false
-    private var inFlightRequest: InFlightRequest? = null
+
+    /** The request whose response is not complete. */
+    var inFlightRequest: InFlightRequest? = null
+        private set
+
     private var handlingRequest = false
     private var keepAlive = true
 
@@ -218,9 +222,7 @@
     private fun queue(message: HttpObject) {
         queued.add(message)
         if (message is HttpContent) queuedBytes += message.content().readableBytes()
-        if (queuedBytes > MAXIMUM_QUEUED_BYTES ||
-            queued.size > MAXIMUM_QUEUED_OBJECTS
-        ) {
+        if (queuedBytes > MAXIMUM_QUEUED_BYTES || queued.size > MAXIMUM_QUEUED_OBJECTS) {
             context.channel().config().isAutoRead = false
         }
     }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/InFlightRequest.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/InFlightRequest.kt
@@ -8,6 +8,9 @@
     /** The caller closed its connection, or the connection failed. */
     fun callerDisconnected()
 
+    /** The process ends before the request is complete, so that it must get its response now. */
+    fun processEnding()
+
     /** More bytes may be written to the caller again. */
     fun callerWritable()
 }
--- a/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/CallerConnectionTest.kt
+++ b/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/CallerConnectionTest.kt
@@ -45,6 +45,8 @@
             handled += request.target
             request.body.release()
             return object : InFlightRequest {
+                override fun processEnding() = Unit
+
                 override fun callerDisconnected() = Unit
 
                 override fun callerWritable() = Unit
--- a/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/UnreadRequestTest.kt
+++ b/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/UnreadRequestTest.kt
@@ -59,6 +59,8 @@
             val respond = { caller.respond(OK, EmptyHttpHeaders.INSTANCE, Unpooled.EMPTY_BUFFER) }
             held?.thenRun(respond) ?: respond()
             return object : InFlightRequest {
+                override fun processEnding() = Unit
+
                 override fun callerDisconnected() = Unit
 
                 override fun callerWritable() = Unit
--- a/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/GatewayLeavingServersTest.kt
+++ b/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/GatewayLeavingServersTest.kt
@@ -39,7 +39,9 @@
             },
             ResponseCase("no such header", used = true, "/post/a") { ServerResponses.plain(it, "x") },
             ResponseCase("the header says no", used = true, "/post/a") {
-                leaving(ServerResponses.plain(it, "x")).replace("${WireHeaders.LEAVING}: 1", "${WireHeaders.LEAVING}: 0")
+                leaving(
+                    ServerResponses.plain(it, "x"),
+                ).replace("${WireHeaders.LEAVING}: 1", "${WireHeaders.LEAVING}: 0")
             },
             ResponseCase("refusal of another server at the address", used = true, "/post/a") {
                 leaving(ServerResponses.notExecuted(it)).replace("503 Busy", "421 Misdirected")
@@ -73,7 +75,10 @@
 
     private val entries =
         listOf(
-            EntryCase("entry written again", used = false) { store, entry -> store.register("s", entry.copy(slots = 5)) },
+            EntryCase(
+                "entry written again",
+                used = false,
+            ) { store, entry -> store.register("s", entry.copy(slots = 5)) },
             EntryCase("entry that disappears and returns", used = false) { store, entry ->
                 store.unregister("s")
                 Thread.sleep(UNTIL_SEEN_MS)
