--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/ServerConnection.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/ServerConnection.kt
@@ -32,7 +32,8 @@
  * response is detected by its request id: it is read and dropped, the connection is not reused, and the expected
  * response may still follow. A response without the id fails the request, because nothing shows to which request it
  * belongs. Bytes that belong to no response are limited. A connection on which any byte has arrived after the end of a
- * response is closed, because the byte can be the beginning of a head that the next response would complete.
+ * response is closed, because the byte can be the beginning of a head that the next response would complete. A head that
+ * consists of parts of two responses fails the request.
  */
 internal class ServerConnection(
     private val decoder: ServerResponseDecoder,
--- a/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/GatewayStopTest.kt
+++ b/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/GatewayStopTest.kt
@@ -60,7 +60,7 @@
         val responses = cases.map { CompletableFuture<String>() }
         cases.forEachIndexed { index, case ->
             thread {
-                Thread.sleep(if (case.afterStream) LATE_MS else EARLY_MS)
+                Thread.sleep(UNTIL_SENT_MS)
                 connections[index].request("/post/$index", "late-$index", case.headers)
                 responses[index].complete(connections[index].getInputStream().readAllBytes().decodeToString())
             }
@@ -97,9 +97,10 @@
         const val UNTIL_BEGUN_MS = 300L
 
         /** The streams end after connections are no longer accepted, and before the process ends. */
-        const val STREAM_MS = 2_600L
-        const val EARLY_MS = 1_000L
-        const val LATE_MS = 2_000L
+        const val STREAM_MS = 2_500L
+
+        /** While connections are still accepted; a request behind a stream is handled once the stream has ended. */
+        const val UNTIL_SENT_MS = 1_000L
         const val SLOWER_THAN_STOP_MS = 4_000L
     }
 }
