Keep a leaving server unused if its registration returned before its response

Cause: a server's entry can disappear and return while a request is in flight (it expires in an outage of the store). The response then marked the object of the earlier registration, and the announcement counted as known from then on, so that the object in use was never marked.

Change: an announcement also marks the object that is tracked now, if it is the same incarnation.

--- a/tarragonport-api/src/main/kotlin/io/tarragonport/api/gateway/ResponseMetadata.kt
+++ b/tarragonport-api/src/main/kotlin/io/tarragonport/api/gateway/ResponseMetadata.kt
@@ -6,7 +6,8 @@
  * Metadata of a backend server's response.
  *
  * [notExecuted] is true only if the server states that it has not run the request. A response without a [signature]
- * must not be returned to a caller as a success. [leaving] is true if the server says that it is about to end. [encoded] is true if the body has a content encoding.
+ * must not be returned to a caller as a success. [leaving] is true if the server says that it is about to end.
+ * [encoded] is true if the body has a content encoding.
  */
 data class ResponseMetadata(
     val requestId: RequestId?,
--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerTable.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerTable.kt
@@ -61,11 +61,13 @@
 
     /**
      * Records that a response of [server] said that it leaves; returns false if that was already known. The incarnation
-     * that [server] tracks gets no new requests from now on, even if its registration disappears and returns.
+     * that [server] tracks gets no new requests from now on, even if its registration has disappeared and returned since
+     * the request was sent, or does so later.
      */
     fun announceLeaving(server: TrackedServer): Boolean {
         if (!leavingAnnouncements.add(server.registered)) return false
         server.leavingAnnounced = true
+        trackedServers[server.registered.id]?.let { it.leavingAnnounced = it.registered in leavingAnnouncements }
         assignShortPromptEngines()
         return true
     }
