Close a connection to the platform on which bytes follow a response

PlatformResponseDecoder counts bytes by their position; a connection with any byte outside a response is closed, and a head that holds another status line fails the call, which a read repeats on a new connection.

--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/ServerConnection.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/ServerConnection.kt
@@ -17,6 +17,7 @@
 import io.netty.util.ReferenceCountUtil
 import io.tarragonport.api.id.RequestId
 import io.tarragonport.daemon.gateway.readAvailable
+import io.tarragonport.platform.ResponseHeadCheck
 import io.tarragonport.wire.ServerResponseHeaders
 import java.io.IOException
 import kotlin.time.ComparableTimeMark
--- a/tarragonport-platform/src/main/kotlin/io/tarragonport/platform/PlatformConnection.kt
+++ b/tarragonport-platform/src/main/kotlin/io/tarragonport/platform/PlatformConnection.kt
@@ -11,15 +11,21 @@
 import io.netty.handler.codec.http.HttpUtil
 import kotlin.time.Duration.Companion.seconds
 
-/** One connection to the platform, which carries one call at a time. */
+/**
+ * One connection to the platform, which carries one call at a time.
+ *
+ * A connection on which bytes have arrived that belong to no response is closed, and a head that consists of parts of
+ * two responses fails the call.
+ */
 internal class PlatformConnection(
+    private val decoder: PlatformResponseDecoder,
     private val onReleased: (PlatformConnection) -> Unit,
     private val onClosed: (PlatformConnection) -> Unit,
 ) : SimpleChannelInboundHandler<FullHttpResponse>() {
     private lateinit var context: ChannelHandlerContext
     private var receive: ((Either<String, PlatformResponse>) -> Unit)? = null
 
-    val open: Boolean get() = context.channel().isActive
+    val open: Boolean get() = context.channel().isActive && !decoder.unexpectedInput
 
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         context = ctx
@@ -31,6 +37,7 @@
         receive: (Either<String, PlatformResponse>) -> Unit,
     ) {
         this.receive = receive
+        decoder.callSent()
         context.writeAndFlush(message).addListener { result ->
             if (!result.isSuccess) fail(result.cause())
         }
@@ -50,11 +57,20 @@
             val cause = response.decoderResult().cause() ?: IllegalStateException("response without a request")
             return fail(cause)
         }
+        if (ResponseHeadCheck.isSpliced(response)) {
+            return fail(IllegalStateException("response head contains another status line"))
+        }
         receive = null
-        if (HttpUtil.isKeepAlive(response)) onReleased(this) else context.close()
+        decoder.responseEnded()
+        if (HttpUtil.isKeepAlive(response) && open) onReleased(this) else context.close()
         receiver(decode(response).right())
     }
 
+    override fun channelReadComplete(ctx: ChannelHandlerContext) {
+        if (receive == null && decoder.unexpectedInput) ctx.close()
+        ctx.fireChannelReadComplete()
+    }
+
     override fun channelInactive(ctx: ChannelHandlerContext) {
         onClosed(this)
         end("the connection was closed before a complete response")
--- a/tarragonport-platform/src/main/kotlin/io/tarragonport/platform/PlatformConnections.kt
+++ b/tarragonport-platform/src/main/kotlin/io/tarragonport/platform/PlatformConnections.kt
@@ -7,8 +7,8 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.ssl.SslContext
 import java.net.InetSocketAddress
 import kotlin.time.Duration
@@ -43,7 +43,8 @@
     }
 
     private fun connect(call: PendingCall) {
-        val connection = PlatformConnection(::release, idle::remove)
+        val decoder = PlatformResponseDecoder()
+        val connection = PlatformConnection(decoder, ::release, idle::remove)
         Bootstrap()
             .group(loop)
             .channel(NioSocketChannel::class.java)
@@ -53,7 +54,7 @@
                 object : ChannelInitializer<SocketChannel>() {
                     override fun initChannel(channel: SocketChannel) {
                         tls?.let { channel.pipeline().addLast(it.newHandler(channel.alloc())) }
-                        channel.pipeline().addLast(HttpClientCodec(), HttpObjectAggregator(MAXIMUM_BODY_BYTES))
+                        channel.pipeline().addLast(HttpRequestEncoder(), decoder, HttpObjectAggregator(MAXIMUM_BODY_BYTES))
                         channel.pipeline().addLast(connection)
                     }
                 },
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/ResponseHeadCheck.kt
+++ b/tarragonport-platform/src/main/kotlin/io/tarragonport/platform/ResponseHeadCheck.kt
@@ -1,4 +1,4 @@
-package io.tarragonport.daemon.gateway.egress
+package io.tarragonport.platform
 
 import io.netty.handler.codec.http.HttpResponse
 
@@ -9,7 +9,7 @@
  * does not tell it from the response to that request. A beginning that ends inside the status line or a header's value
  * is completed by the status line that follows, so that the latter becomes part of a reason phrase or a value.
  */
-internal object ResponseHeadCheck {
+object ResponseHeadCheck {
     private val STATUS_LINE = Regex("""HTTP/\d\.\d \d{3}""")
 
     /** Whether [response] has a status line inside its reason phrase or a header's value. */
