Renew a short lease early enough that its holder can always send a call

GatewayStoreFaultsTest "lost responses" once saw no usage report for 10 s. With a lease of 1 s the permit covered a call of 1 s only in the first 0.5 s after a renewal, and renewals were 0.667 s apart: 14.79 s of each minute had no usable permit (LeaseSettingsTest on the old interval, one run). The duty loop runs each 2 s, three renewals, so it can meet that gap every time. That this is what the one failed run met is likely, not traced: its log was not kept.

The renewal interval now leaves room for the longest call.

--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/lease/LeaseSettings.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/lease/LeaseSettings.kt
@@ -26,4 +26,26 @@
     init {
         require(renewInterval < validity) { "renewInterval $renewInterval must be less than the validity $validity" }
     }
+    companion object {
+        private const val RENEWALS_PER_LEASE = 3
+
+        /**
+         * Settings of a lease of [duration] whose holder sends calls of up to [longestCall] at any time. A renewal is
+         * due early enough that the permit covers such a call until the response to the renewal arrives.
+         */
+        fun forCalls(
+            duration: Duration,
+            margin: Duration,
+            longestCall: Duration,
+            retryInterval: Duration,
+        ): LeaseSettings =
+            LeaseSettings(
+                duration = duration,
+                margin = margin,
+                renewInterval = minOf(duration / RENEWALS_PER_LEASE, (duration - margin - longestCall) / 2),
+                observeInterval = duration / 2,
+                retryInterval = retryInterval,
+                takeoverDelay = longestCall,
+            )
+    }
 }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ControlModule.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ControlModule.kt
@@ -299,17 +299,13 @@
     }
 
     /** Settings with which actions of two successive lease holders are at least `leaseSeconds` apart. */
-    private fun leaseSettings(): LeaseSettings {
-        val duration = (settings.leaseSeconds * LEASE_FACTOR).seconds
-        return LeaseSettings(
-            duration = duration,
+    private fun leaseSettings(): LeaseSettings =
+        LeaseSettings.forCalls(
+            duration = (settings.leaseSeconds * LEASE_FACTOR).seconds,
             margin = LEASE_MARGIN,
-            renewInterval = duration / RENEWALS_PER_LEASE,
-            observeInterval = duration / 2,
+            longestCall = DUTY_TIMEOUTS.order,
             retryInterval = LEASE_RETRY_INTERVAL,
-            takeoverDelay = DUTY_TIMEOUTS.order,
         )
-    }
 
     private companion object {
         const val RECORD_PREFIX = "vms/"
@@ -330,7 +326,6 @@
 
         /** Lease duration as a multiple of `leaseSeconds`, so that one lost renewal does not end the lease. */
         const val LEASE_FACTOR = 2.0
-        const val RENEWALS_PER_LEASE = 3
         val LEASE_MARGIN = 500.milliseconds
         val LEASE_RETRY_INTERVAL = 400.milliseconds
 
