--- a/tarragonport-standins/src/main/kotlin/io/tarragonport/tool/fault/VmProcess.kt
+++ b/tarragonport-standins/src/main/kotlin/io/tarragonport/tool/fault/VmProcess.kt
@@ -26,6 +26,9 @@
     val address: String get() = "127.0.0.1:$callerPort"
     val alive: Boolean get() = process?.isAlive == true
 
+    /** The process id; null before the start. */
+    val pid: Long? get() = process?.pid()
+
     fun start() {
         process =
             ProcessBuilder(command + listOf("--settings", settings.path))
