--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/ServerConnection.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/ServerConnection.kt
@@ -191,6 +191,10 @@
             fail("response head contains another status line")
             return false
         }
+        if (response.status().code() !in STATUSES) {
+            fail("status ${response.status().code()} does not exist")
+            return false
+        }
         if (response.status().code() < FIRST_FINAL_STATUS) {
             dropping = true
             if (++interimResponses >
@@ -288,6 +292,7 @@
     companion object {
         private val KEEP_ALIVE = HttpHeaderNames.KEEP_ALIVE
         private val TIMEOUT = Regex("timeout=(\\d+)")
+        private val STATUSES = 100..599
         private const val FIRST_FINAL_STATUS = 200
 
         /** Servers send at most a few, such as progress notices. */
