Limit what all callers together hold in a process's memory

150 callers that sent many short header fields and stopped ended a process with 48 MB of heap (HostileHeadsTest, first row): a field of four bytes takes 250 once decoded, and nothing bounded the sum of heads, bodies, requests sent ahead and responses that are not read.

All callers share one budget worked out from heap and direct memory: the largest incomplete request is refused as not run, or the caller with most unread bytes is disconnected, and complete requests keep what they have. Connections to the readiness and metrics addresses end after 15 s of silence. A byte above 0x7f in a target, which was forwarded as two, is refused.

Descriptors are bounded by timeouts only; the limit of a process's connections is not built.

--- a/tarragonport-core/src/test/kotlin/io/tarragonport/core/gateway/overload/BufferBudgetTest.kt
+++ b/tarragonport-core/src/test/kotlin/io/tarragonport/core/gateway/overload/BufferBudgetTest.kt
@@ -40,4 +40,43 @@
             assertEquals(case.discarded, discarded, case.title)
             assertEquals(case.total, budget.total, case.title)
         }
+
+    @Test
+    fun `a holder that keeps its bytes counts, and another gives way`() {
+        val budget = BufferBudget(limitBytes = 100)
+        val discarded = mutableListOf<String>()
+        val holders =
+            listOf("kept", "large", "small").associateWith { name ->
+                object : BufferHolder {
+                    override fun discardBuffered() {
+                        discarded += name
+                    }
+                }
+            }
+        budget.update(holders.getValue("kept"), 80, yields = false)
+        budget.update(holders.getValue("large"), 15)
+        budget.update(holders.getValue("small"), 10)
+        assertEquals(listOf("large"), discarded)
+        budget.update(holders.getValue("kept"), 120, yields = false)
+        assertEquals(listOf("large", "small"), discarded)
+        assertEquals(120, budget.total)
+    }
+
+    @Test
+    fun `the limit of a process holds two of the largest bodies at least`() =
+        listOf(
+            Triple(160L, 64L, 32L),
+            Triple(48L, 24L, 12L),
+            Triple(64L, 512L, 16L),
+            Triple(16L, 8L, 8L),
+        ).forEach { (heap, direct, limit) ->
+            assertEquals(
+                limit * MEGABYTE,
+                CallerBufferLimit.of(heap * MEGABYTE, direct * MEGABYTE, 4 * MEGABYTE.toInt()),
+            )
+        }
+
+    private companion object {
+        const val MEGABYTE = 1024L * 1024
+    }
 }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/GatewayRequestHandler.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/GatewayRequestHandler.kt
@@ -23,6 +23,7 @@
     private val connections = mutableSetOf<CallerConnection>()
 
     override val draining: Boolean get() = state.draining
+    override val buffers = state.callerBuffers
 
     override fun arrivalTime(): ComparableTimeMark = state.arrivals.arrivalTime()
 
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/TrafficState.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/TrafficState.kt
@@ -1,6 +1,7 @@
 package io.tarragonport.daemon.gateway.exchange
 
 import io.netty.channel.EventLoop
+import io.netty.util.internal.PlatformDependent
 import io.tarragonport.api.gateway.GatewayRoute
 import io.tarragonport.api.gateway.GatewayService
 import io.tarragonport.api.id.ServiceId
@@ -13,6 +14,7 @@
 import io.tarragonport.core.gateway.fleet.FleetView
 import io.tarragonport.core.gateway.overload.ArrivalClock
 import io.tarragonport.core.gateway.overload.BufferBudget
+import io.tarragonport.core.gateway.overload.CallerBufferLimit
 import io.tarragonport.core.gateway.route.ActiveConfiguration
 import io.tarragonport.core.gateway.waiting.RequestQueue
 import io.tarragonport.core.gateway.waiting.ReturnSchedule
@@ -62,6 +64,14 @@
     val prompts = PromptProfile()
     val pools = ConnectionPools(loop, clock, ::inputReceived, log::unexpectedInput)
     val queue = RequestQueue<Exchange>()
+    val callerBuffers =
+        BufferBudget(
+            CallerBufferLimit.of(
+                Runtime.getRuntime().maxMemory(),
+                PlatformDependent.maxDirectMemory(),
+                LARGEST_BODY_BYTES,
+            ),
+        )
     val responseBuffers = BufferBudget(MAXIMUM_BUFFERED_RESPONSE_BYTES)
     val crashes = CrashGuard(clock, sharing = crashSharing)
     val crashDetector = CrashDetector(loop, pools, crashes, log)
@@ -195,6 +205,9 @@
     }
 
     private companion object {
+        /** The limit of bodies in the deployments' configurations. */
+        const val LARGEST_BODY_BYTES = 4 * 1024 * 1024
+
         /** A fifth of the heap in `deploy/system.toml`, and four responses of the largest size that is buffered. */
         const val MAXIMUM_BUFFERED_RESPONSE_BYTES = 32L * 1024 * 1024
 
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/BytesReceivedHandler.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/BytesReceivedHandler.kt
@@ -1,5 +1,6 @@
 package io.tarragonport.daemon.gateway.ingress
 
+import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 
@@ -11,7 +12,7 @@
         context: ChannelHandlerContext,
         message: Any,
     ) {
-        connection.bytesReceived()
+        connection.bytesReceived((message as? ByteBuf)?.readableBytes() ?: 0)
         context.fireChannelRead(message)
     }
 }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/CallerConnection.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/CallerConnection.kt
@@ -30,7 +30,6 @@
 import io.tarragonport.daemon.gateway.exchange.ErrorResponse
 import io.tarragonport.daemon.gateway.readAvailable
 import io.tarragonport.wire.RequestHeaders
-import java.util.ArrayDeque
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -39,8 +38,8 @@
  * One connection of a caller: reads requests one after the other and writes their responses in the same order.
  *
  * While a request is handled, reading continues so that a closed connection is detected. Pipelined requests are queued
- * in [queued], and reading pauses when more than [MAXIMUM_QUEUED_BYTES] or [MAXIMUM_QUEUED_OBJECTS] are queued. After
- * the last response only the output side is shut down at first, because closing a socket with unread bytes resets the
+ * in [queued], and reading pauses when it is full. What the connection holds counts in [buffers]: if all callers hold too
+ * much, an incomplete request is refused, or the connection of a caller that does not read is closed. After the last response only the output side is shut down at first, because closing a socket with unread bytes resets the
  * connection and can discard the response.
  */
 internal class CallerConnection(
@@ -50,8 +49,8 @@
 ) : ChannelInboundHandlerAdapter(),
     CallerChannel {
     private lateinit var context: ChannelHandlerContext
-    private val queued = ArrayDeque<HttpObject>()
-    private var queuedBytes = 0L
+    private val buffers = CallerBuffers(requestHandler.buffers, ::discardBuffered)
+    private val queued = InputQueue(buffers)
     private var partialRequest: PartialRequest? = null
 
     /** A complete request that is handled once everything that has arrived is read, including the caller's close. */
@@ -96,9 +95,10 @@
         startTimer(limits.idleTimeout, ::closeIdle)
     }
 
-    /** Starts the header timeout with the first bytes of a request head; later bytes do not extend it. */
-    fun bytesReceived() {
+    /** Starts the header timeout with the first of the [bytes] of a request head; later ones do not extend it. */
+    fun bytesReceived(bytes: Int) {
         requestHandler.inputReceived()
+        if (receivingHead || idle) buffers.headReceived(bytes)
         if (!idle) return
         receivingHead = true
         startTimer(limits.headerTimeout) { refuse(ErrorKind.CALLER_TOO_SLOW) }
@@ -147,13 +147,14 @@
         inFlightRequest = null
         partialRequest?.body?.release()
         partialRequest = null
-        queued.forEach(ReferenceCountUtil::release)
         queued.clear()
+        buffers.clear()
         requestHandler.closed(this)
     }
 
     override fun channelWritabilityChanged(ctx: ChannelHandlerContext) {
         if (writable) inFlightRequest?.callerWritable()
+        if (writable) buffers.unread(0)
     }
 
     override fun exceptionCaught(
@@ -221,10 +222,7 @@
 
     private fun queue(message: HttpObject) {
         queued.add(message)
-        if (message is HttpContent) queuedBytes += message.content().readableBytes()
-        if (queuedBytes > MAXIMUM_QUEUED_BYTES || queued.size > MAXIMUM_QUEUED_OBJECTS) {
-            context.channel().config().isAutoRead = false
-        }
+        if (queued.full) context.channel().config().isAutoRead = false
     }
 
     private fun process(message: HttpObject) {
@@ -241,6 +239,7 @@
     private fun receiveHead(request: HttpRequest) {
         stopTimer()
         receivingHead = false
+        buffers.headComplete(request)
         val checked = HeadCheck.check(request)
         keepAlive = keepAlive && HttpUtil.isKeepAlive(request)
         chunkedAllowed = request.protocolVersion() == HttpVersion.HTTP_1_1
@@ -256,13 +255,7 @@
                 if (length > limits.bodyBytes) {
                     refuse(ErrorKind.BODY_TOO_LARGE)
                 } else if (HttpUtil.is100ContinueExpected(request)) {
-                    context.writeAndFlush(
-                        DefaultFullHttpResponse(
-                            HttpVersion.HTTP_1_1,
-                            HttpResponseStatus.CONTINUE,
-                            Unpooled.EMPTY_BUFFER,
-                        ),
-                    )
+                    context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
                 }
             },
         )
@@ -270,7 +263,9 @@
 
     private fun receiveContent(content: HttpContent) {
         val partial = partialRequest ?: return
+        buffers.bodyReceived(content.content().readableBytes())
         when {
+            partialRequest == null -> Unit
             content.decoderResult().isFailure -> refuse(ErrorKind.INVALID_REQUEST)
             !partial.body.add(content.content()) -> refuse(ErrorKind.BODY_TOO_LARGE)
             content is LastHttpContent -> complete(partial)
@@ -278,10 +273,17 @@
         }
     }
 
+    /** Gives up what is held of an incomplete request or an unread response, because all callers hold too much. */
+    private fun discardBuffered() {
+        val incomplete = partialRequest != null || receivingHead
+        if (incomplete && !closing) refuse(ErrorKind.OVERLOADED) else context.close()
+    }
+
     private fun complete(partial: PartialRequest) {
         stopTimer()
         partialRequest = null
         handlingRequest = true
+        buffers.requestComplete()
         if (reading) completeRequest = partial else handle(partial)
     }
 
@@ -322,12 +324,13 @@
         context.flush()
         inFlightRequest = null
         handlingRequest = false
+        receivingHead = false
+        buffers.requestEnded()
+        if (!writable) buffers.unread(context.channel().bytesBeforeWritable())
         if (closeAnnounced) return closeGracefully(CloseReason.RESPONSE_COMPLETE)
         startTimer(limits.idleTimeout, ::closeIdle)
         while (!handlingRequest && !closing && queued.isNotEmpty()) {
-            val next = queued.poll()
-            if (next is HttpContent) queuedBytes -= next.content().readableBytes()
-            process(next)
+            process(queued.remove())
         }
         if (queued.isEmpty() && !closing) context.channel().config().isAutoRead = true
         if (stopping) closeWhenIdle()
@@ -355,7 +358,6 @@
         closing = true
         // After a refusal, the rest of the refused request is expected.
         if (!refused) closeDecision = CloseDecision(reason, requestHandler.arrivalTime())
-        queued.forEach(ReferenceCountUtil::release)
         queued.clear()
         val channel = context.channel() as SocketChannel
         context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(
@@ -388,12 +390,6 @@
     }
 
     private companion object {
-        /** Enough for a few pipelined prompts of typical size. */
-        const val MAXIMUM_QUEUED_BYTES = 131_072L
-
-        /** Limit on decoded request heads and body chunks. */
-        const val MAXIMUM_QUEUED_OBJECTS = 64
-
         /** Time for the caller to read the end of the response and close its side; a round trip takes milliseconds. */
         val LINGER_TIME: Duration = 1.seconds
     }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/HeadCheck.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/HeadCheck.kt
@@ -23,7 +23,7 @@
                 hosts.size == 1 &&
                 hosts.single().isNotBlank() &&
                 request.uri().startsWith('/') &&
-                request.uri().none { it <= ' ' || it == DELETE_CHARACTER } &&
+                request.uri().all { it in VISIBLE_CHARACTERS } &&
                 (codings.isEmpty() || isChunked(codings))
         return if (valid) hosts.single().trim().right() else ErrorKind.INVALID_REQUEST.left()
     }
@@ -38,5 +38,7 @@
         }
 
     private val SUPPORTED_VERSIONS = setOf(HttpVersion.HTTP_1_0, HttpVersion.HTTP_1_1)
-    private const val DELETE_CHARACTER = '\u007f'
+
+    /** A byte above these would be forwarded as two. */
+    private val VISIBLE_CHARACTERS = '!'..'~'
 }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/RequestHandler.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/RequestHandler.kt
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpRequest
 import io.tarragonport.api.error.ErrorKind
+import io.tarragonport.core.gateway.overload.BufferBudget
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 
@@ -10,6 +11,9 @@
     /** Whether the process is shutting down, so that connections close after their current response. */
     val draining: Boolean
 
+    /** What all callers' connections may hold in memory. */
+    val buffers: BufferBudget
+
     /** The earliest time at which bytes that are read now can have arrived. */
     fun arrivalTime(): ComparableTimeMark
 
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/StatusServer.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/StatusServer.kt
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.timeout.ReadTimeoutHandler
 import java.net.InetSocketAddress
 
 /**
@@ -41,7 +42,8 @@
                     object : ChannelInitializer<Channel>() {
                         override fun initChannel(channel: Channel) {
                             channel.pipeline().addLast(
-                                HttpServerCodec(),
+                                ReadTimeoutHandler(READ_TIMEOUT_SECONDS),
+                                HttpServerCodec(MAXIMUM_LINE_BYTES, MAXIMUM_HEADER_BYTES, MAXIMUM_BODY_BYTES),
                                 HttpObjectAggregator(MAXIMUM_BODY_BYTES),
                                 requestHandler(),
                             )
@@ -79,6 +81,13 @@
         }
 
     private companion object {
+        /** Status requests are sent whole, each second or less often; others wait on a new connection. */
+        const val READ_TIMEOUT_SECONDS = 15
+        const val MAXIMUM_LINE_BYTES = 1024
+
+        /** Probes send a few short headers. */
+        const val MAXIMUM_HEADER_BYTES = 2048
+
         /** Status requests have no body. */
         const val MAXIMUM_BODY_BYTES = 1024
     }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/StrictRequestDecoder.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/StrictRequestDecoder.kt
@@ -23,6 +23,6 @@
                 .setAllowDuplicateContentLengths(false)
                 .setStrictLineParsing(true)
                 .setUseRfc9112TransferEncoding(true)
-                .setValidateHeaders(true)
+                .setHeadersFactory(LimitedHeadersFactory)
     }
 }
--- a/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/CallerConnectionTest.kt
+++ b/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/CallerConnectionTest.kt
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpRequest
 import io.tarragonport.api.error.ErrorKind
 import io.tarragonport.api.gateway.CallerLimits
+import io.tarragonport.core.gateway.overload.BufferBudget
 import io.tarragonport.daemon.gateway.ingress.CallerChannel
 import io.tarragonport.daemon.gateway.ingress.CallerConnection
 import io.tarragonport.daemon.gateway.ingress.CallerRequest
@@ -26,6 +27,7 @@
  */
 class CallerConnectionTest {
     private class RecordingHandler : RequestHandler {
+        override val buffers = BufferBudget(Long.MAX_VALUE)
         private val clock = TestTimeSource()
         val handled = mutableListOf<String>()
         override val draining = false
--- a/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/UnreadRequestTest.kt
+++ b/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/UnreadRequestTest.kt
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpRequest
 import io.tarragonport.api.error.ErrorKind
 import io.tarragonport.api.gateway.CallerLimits
+import io.tarragonport.core.gateway.overload.BufferBudget
 import io.tarragonport.daemon.TestPorts
 import io.tarragonport.daemon.gateway.ingress.CallerChannel
 import io.tarragonport.daemon.gateway.ingress.CallerConnection
@@ -33,6 +34,7 @@
 class UnreadRequestTest {
     /** Answers each request with 200, after [held] if that is set, and runs [inputRound] once, in the round in which the next connection is opened. */
     private class AnsweringHandler : RequestHandler {
+        override val buffers = BufferBudget(Long.MAX_VALUE)
         val connections = mutableSetOf<CallerConnection>()
         var inputRound: (() -> Unit)? = null
         var held: CompletableFuture<Unit>? = null
--- a/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/HostileRequestsTest.kt
+++ b/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/HostileRequestsTest.kt
@@ -51,6 +51,7 @@
             Case("chunk size with a prefix", head("Transfer-Encoding: chunked\r\n") + "0x5\r\nhello\r\n0\r\n\r\n", 400),
             Case("bad chunk end", head("Transfer-Encoding: chunked\r\n") + "5\r\nhelloXX0\r\n\r\n", 400),
             Case("space before the colon", head("Content-Length : 0\r\n"), 400),
+            Case("a byte above 0x7f in the target", head("Content-Length: 0\r\n", target = "/open/\u00e9"), 400),
             Case("absolute target", head("Content-Length: 0\r\n", target = "http://x/open/a"), 400),
             Case("headers too large", head("X-A: ${"a".repeat(9_000)}\r\nContent-Length: 0\r\n"), 431),
             Case("body too large", head("Content-Length: 70000\r\n"), 413),
