Work the wait limits out again once prompts of other routes are known

A route's limit was kept from its first request on, when no prompt of the others had been seen and all routes looked as if they used the same engines: a middle class got half of the chats' objective (200 of 600 ms in the test) until the next configuration. Limits are now worked out again each second, by a class of their own. LongestWaitsTest fails with limits that are kept (200 instead of 600 ms). Found by reading; what it costs callers was not measured before.

--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerSelector.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerSelector.kt
@@ -69,8 +69,8 @@
     }
 
     /**
-     * The engines that are compared first for [request] if loads are reported late, which their loads should be known
-     * of; empty if all engines are compared.
+     * The engines that are compared first for [request] if loads are reported late, and whose load is worth asking for;
+     * empty if all engines are compared.
      */
     fun compared(
         request: SelectionRequest,
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/TrafficState.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/exchange/TrafficState.kt
@@ -16,9 +16,9 @@
 import io.tarragonport.core.gateway.overload.BufferBudget
 import io.tarragonport.core.gateway.overload.CallerBufferLimit
 import io.tarragonport.core.gateway.route.ActiveConfiguration
+import io.tarragonport.core.gateway.waiting.LongestWaits
 import io.tarragonport.core.gateway.waiting.RequestQueue
 import io.tarragonport.core.gateway.waiting.ReturnSchedule
-import io.tarragonport.core.gateway.waiting.WaitLimits
 import io.tarragonport.core.retry.RetryBudget
 import io.tarragonport.daemon.gateway.egress.ConnectionPools
 import java.util.concurrent.TimeUnit
@@ -62,6 +62,7 @@
     var fleet: FleetView by serverTable::fleet
     val selector = ServerSelector(serverTable, settings.failureDomain)
     val prompts = PromptProfile()
+    private val longestWaits = LongestWaits(clock, prompts)
     val pools = ConnectionPools(loop, clock, ::inputReceived, log::unexpectedInput)
     val queue = RequestQueue<Exchange>()
     val callerBuffers =
@@ -78,7 +79,6 @@
     val arrivals = ArrivalClock(clock)
     private var polling = false
     private var passingLoadsOn = false
-    private val longestWaits = HashMap<Pair<String, Int>, Duration>()
     private val budgets = HashMap<ServiceId, RetryBudget>()
     private val returnSchedules = HashMap<ServiceId, ReturnSchedule>()
 
@@ -140,14 +140,7 @@
     ): Duration? {
         if (!fleet.reportsAreLate) return null
         val routes = configuration?.content?.routes ?: return null
-        val short = prompts.hasShortPrompts(service, route.name)
-        val first =
-            longestWaits.getOrPut(route.name to priority) {
-                WaitLimits.longestWait(route, priority, service, Duration.ZERO, routes) {
-                    prompts.hasShortPrompts(service, it.name) == short
-                }
-            }
-        return first + waited
+        return longestWaits.of(route, priority, service, waited, routes)
     }
 
     /**
