Rank engines by a shared prompt part only if it is worth keeping together

In the test 400 chats went to one engine.

An engine counts as full a quarter beyond its slots, so that a slot that becomes free is filled at once. ServerSelectorTest has the pattern and failed before.

--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/PromptPlan.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/PromptPlan.kt
@@ -64,7 +64,7 @@
         private const val FETCH_MS = 20.0
 
         /** Processing this many tokens takes twice as long as fetching them. */
-        private const val MIN_FETCHED_TOKENS = 2_000
+        const val MIN_FETCHED_TOKENS = 2_000
 
         /** A short prompt moves to the long group rather than wait for more than three prompt chunks (72 ms each). */
         private const val SHORT_GROUP_PENALTY_MS = 250.0
--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/PromptRank.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/PromptRank.kt
@@ -8,9 +8,14 @@
     /** The key by which engines are ranked for [prompt], null if the prompt has no shared part. */
     fun key(prompt: PromptShape): Long? = prompt.sharedParts.lastOrNull()?.let { RendezvousHash.of(it.id) }
 
-    /** The key by which engines are ranked for [prompt] if they are not compared all: its own part, if none is shared. */
+    /**
+     * The key by which engines are ranked for [prompt] if not all are compared: its shared parts, if they are long enough
+     * to be worth keeping together, otherwise its own part. Requests with a short part in common, which can be most of a
+     * service, thus go to all engines.
+     */
     fun rankingKey(prompt: PromptShape): Long? =
-        key(prompt) ?: prompt.parts.lastOrNull()?.let { RendezvousHash.of(it.id) }
+        key(prompt)?.takeIf { prompt.sharedParts.sumOf { it.tokens } >= PromptPlan.MIN_FETCHED_TOKENS }
+            ?: prompt.session?.let(RendezvousHash::of)
 
     /** The [count] highest-ranked of those [engines] that [accepted] accepts, the highest first. */
     inline fun top(
--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerSelector.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerSelector.kt
@@ -155,7 +155,7 @@
         request: SelectionRequest,
     ): Boolean {
         val longest = request.longestWait ?: return false
-        val full = server.totalInFlight >= server.registered.slots.coerceAtLeast(1)
+        val full = server.totalInFlight >= server.registered.slots.coerceAtLeast(1) * QUEUE_FACTOR
         return full ||
             server.totalUnprocessedTokens / TOKENS_PROCESSED_PER_MS > longest.toDouble(DurationUnit.MILLISECONDS)
     }
@@ -191,6 +191,9 @@
         /** Engines compared first; the second choice takes most of what is uneven, the third stands in for one that failed. */
         const val FIRST_WIDTH = 3
 
+        /** The slots of an engine and a short queue, from which it fills a slot that becomes free at once. */
+        const val QUEUE_FACTOR = 1.25
+
         /** Part of the objective within which the first event is expected at an engine that is good enough. */
         const val ENOUGH_SHARE = 0.5
 
--- a/tarragonport-core/src/test/kotlin/io/tarragonport/core/gateway/balance/ServerSelectorTest.kt
+++ b/tarragonport-core/src/test/kotlin/io/tarragonport/core/gateway/balance/ServerSelectorTest.kt
@@ -1,7 +1,11 @@
 package io.tarragonport.core.gateway.balance
 
+import io.tarragonport.api.gateway.PromptPart
+import io.tarragonport.api.gateway.PromptShape
 import io.tarragonport.api.id.FailureDomainId
+import io.tarragonport.api.id.VmId
 import io.tarragonport.core.gateway.Samples
+import io.tarragonport.core.gateway.fleet.FleetView
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertNotNull
@@ -218,4 +222,27 @@
         prompts.forEach(cache::sent)
         assertEquals(listOf(0, 13_000, 13_000), prompts.map(cache::cachedTokens))
     }
+
+    @Test
+    fun `in a large fleet chats with one short part in common use all engines for short prompts`() {
+        val serverTable = serverTable(40)
+        serverTable.fleet = FleetView(VmId("vm-1"), (1..68).map { VmId("vm-$it") })
+        val selector = ServerSelector(serverTable, FailureDomainId("a"))
+        val used =
+            (1..400).map { number ->
+                val parts = listOf(PromptPart("system", 300), PromptPart("chat-$number", 800))
+                val request =
+                    SelectionRequest(Samples.ENGINES, PromptShape("m", 1_100, 100, parts), true, 400.milliseconds)
+                checkNotNull(selector.choose(request, clock.markNow()) { true }).server.registered.id
+            }
+        val group = serverTable.shortPromptEngines(Samples.ENGINES)
+        assertEquals(group, used.toSet())
+        assertTrue(
+            used
+                .groupingBy { it }
+                .eachCount()
+                .values
+                .max() < 3 * 400 / group.size,
+        )
+    }
 }
