Let no request wait for the best engine while another may take it

Whether a request waits was judged by the engine with the lowest score only: a chat waited at the full engines of its group while those of the other group had slots. Engines at which a request would wait too long are left out before the lowest score is taken; long prompts are not diverted to the engines for short ones. ServerSelectorTest has the pattern.

--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerSelector.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/ServerSelector.kt
@@ -57,11 +57,12 @@
     ): ServerChoice? {
         val plan = plan(prompt, request, candidates, now)
         val rankingKey = PromptRank.rankingKey(prompt)
+        val usable = usable(candidates, request)
         val best =
             if (rankingKey == null || !serverTable.fleet.reportsAreLate) {
-                lowest(candidates, plan, now)
+                lowest(usable, plan, now)
             } else {
-                widening(rankingKey, candidates, request, plan, now)
+                widening(rankingKey, usable, request, plan, now)
             }
         if (best == null || exceedsWait(best, request)) return null
         val score = engineScore(best, plan, now)
@@ -150,6 +151,19 @@
         return lowest(candidates, plan, now)
     }
 
+    /**
+     * Those of [candidates] at which [request] does not wait longer than it may. Long prompts that would wait at all
+     * engines of their group are not diverted to those for short prompts.
+     */
+    private fun usable(
+        candidates: List<TrackedServer>,
+        request: SelectionRequest,
+    ): List<TrackedServer> {
+        if (request.longestWait == null) return candidates
+        val usable = candidates.filter { !exceedsWait(it, request) }
+        return if (request.shortPrompt || usable.any { !it.forShortPrompts }) usable else candidates
+    }
+
     private fun exceedsWait(
         server: TrackedServer,
         request: SelectionRequest,
--- a/tarragonport-core/src/test/kotlin/io/tarragonport/core/gateway/balance/ServerSelectorTest.kt
+++ b/tarragonport-core/src/test/kotlin/io/tarragonport/core/gateway/balance/ServerSelectorTest.kt
@@ -245,4 +245,26 @@
                 .max() < 3 * 400 / group.size,
         )
     }
+
+    @Test
+    fun `a chat does not wait for a full engine while another may take it, a long prompt waits for its own group`() {
+        val serverTable = serverTable(40)
+        serverTable.fleet = FleetView(VmId("vm-1"), (1..68).map { VmId("vm-$it") })
+        val (short, long) = serverTable.all.partition { it.forShortPrompts }
+        val selector = ServerSelector(serverTable, FailureDomainId("a"))
+
+        fun chosen(shortPrompt: Boolean): TrackedServer? {
+            val prompt = if (shortPrompt) Samples.prompt(300, 800, "chat") else Samples.prompt(13_000, 4_000, "part")
+            val request = SelectionRequest(Samples.ENGINES, prompt, shortPrompt, 400.milliseconds, 400.milliseconds)
+            return selector.choose(request, clock.markNow()) { true }?.server
+        }
+        short.forEach { server -> repeat(100) { server.recordSent(0) } }
+        assertTrue(chosen(shortPrompt = true) in long)
+        assertTrue(chosen(shortPrompt = false) in long)
+        long.forEach { server -> repeat(100) { server.recordSent(0) } }
+        assertNull(chosen(shortPrompt = true))
+        assertNull(chosen(shortPrompt = false))
+        short.forEach { server -> repeat(100) { server.recordEnd() } }
+        assertTrue(chosen(shortPrompt = true) in short)
+    }
 }
