--- a/review/standins-2/HostileReadiness.java
+++ b/review/standins-2/HostileReadiness.java
@@ -6,7 +6,7 @@
 
 /** Clients of the address that says ready, which send many requests ahead and do not read the answers. */
 public final class HostileReadiness extends HostileCrowd {
-    private static final int CLIENTS = 20;
+    private static final int CLIENTS = 100;
 
     private final AtomicLong sent = new AtomicLong();
 
