review: remove unused parts of the stand-ins

Cause: the stand-ins of cases 6 to 10 kept parts of trials that no case uses, and left their settings and logs in the temporary folder.

Changed: the unused parts are gone, and a run deletes its temporary files and ends its gateways when it is ended itself. No check was changed.

--- a/review/standins-2/Drill.java
+++ b/review/standins-2/Drill.java
@@ -1,3 +1,4 @@
+import java.io.OutputStream;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -135,7 +136,7 @@
         return drillEnds.stream().anyMatch(end -> call.at() >= end - 1 && call.at() < end + STABLE_S);
     }
 
-    private void duty(Http.Message request, java.io.OutputStream out) throws Exception {
+    private void duty(Http.Message request, OutputStream out) throws Exception {
         String subject = request.target();
         if (subject.equals("/scale")) {
             Map<String, Object> order = Json.parseObject(request.text());
--- a/review/standins-2/Gateway.java
+++ b/review/standins-2/Gateway.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -81,18 +82,14 @@
         return process.isAlive();
     }
 
-    long pid() {
-        return process.pid();
-    }
-
-    /** Sends [signal] (`TERM`, `KILL`, `STOP`, `CONT`, `HUP`) to the process. */
+    /** Sends [signal] (such as `TERM`) to the process. */
     void signal(String signal) throws IOException, InterruptedException {
         new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
     }
 
     /** Whether the process ends within [milliseconds]. */
     boolean endsWithin(long milliseconds) throws InterruptedException {
-        return process.waitFor(milliseconds, java.util.concurrent.TimeUnit.MILLISECONDS);
+        return process.waitFor(milliseconds, TimeUnit.MILLISECONDS);
     }
 
     int exitValue() {
--- a/review/standins-2/HostileCrowd.java
+++ b/review/standins-2/HostileCrowd.java
@@ -8,22 +8,14 @@
  */
 abstract class HostileCrowd {
     private static final int CALM_S = 8;
+    /** Time until the crowd has its effect, in which the consumers are not judged. */
+    private static final int GATHERING_S = 5;
     private static final int CROWD_S = 20;
     private static final int REST_S = 5;
     private static final int GRACE_MS = 8000;
     private static final int SLACK_MS = 2000;
     private static final int CONSUMERS = 5;
 
-    /** Whether the ordinary consumers send orders, which run at most once, rather than reads. */
-    boolean orders() {
-        return false;
-    }
-
-    /** Seconds until the crowd has its effect, in which the consumers are not counted. */
-    int gatheringSeconds() {
-        return 5;
-    }
-
     /** Number of the crowd's clients, each of which has one connection at a time. */
     abstract int clients();
 
@@ -56,7 +48,7 @@
         double before = serve(site, gateway, CALM_S, "calm");
         AtomicBoolean active = new AtomicBoolean(trouble);
         for (int i = 0; i < clients() && trouble; i++) Http.thread(() -> repeat(gateway, active));
-        serve(site, gateway, gatheringSeconds(), trouble ? "crowd gathers" : "no crowd");
+        serve(site, gateway, GATHERING_S, trouble ? "crowd gathers" : "no crowd");
         double during = serve(site, gateway, CROWD_S, trouble ? "crowd" : "no crowd");
         active.set(false);
         if (trouble) record.say(summary());
@@ -95,7 +87,7 @@
     }
 
     /** Sends requests of ordinary consumers for some seconds and returns the share that was served. */
-    private double serve(Site site, Gateway gateway, int seconds, String phase) throws Exception {
+    private static double serve(Site site, Gateway gateway, int seconds, String phase) throws Exception {
         AtomicInteger sent = new AtomicInteger();
         AtomicInteger served = new AtomicInteger();
         long end = System.nanoTime() + seconds * 1_000_000_000L;
@@ -104,9 +96,7 @@
             threads[i] = Http.thread(() -> {
                 while (System.nanoTime() < end) {
                     sent.incrementAndGet();
-                    if (site.request(gateway, orders() ? "POST" : "GET", orders() ? "/order/1" : "/read/1").whole()) {
-                        served.incrementAndGet();
-                    }
+                    if (site.request(gateway, "GET", "/read/1").whole()) served.incrementAndGet();
                     pause(200);
                 }
             });
--- a/review/standins-2/Site.java
+++ b/review/standins-2/Site.java
@@ -1,4 +1,5 @@
 import java.io.BufferedInputStream;
+import java.io.File;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -6,6 +7,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -46,6 +48,7 @@
         peerPort = Gateway.freePort(network + "11");
         List<String> seeds = new ArrayList<>();
         for (int i = 0; i < Math.min(3, gatewayCount); i++) seeds.add(network + (11 + i));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> gateways.forEach(Gateway::destroy)));
         for (int i = 0; i < gatewayCount; i++) {
             gateways.add(
                 new Gateway(root, folder, "edge-hall-a-" + (i + 1), network + (11 + i), peerPort, seeds, store.address(),
@@ -58,14 +61,10 @@
         return network + number;
     }
 
-    /**
-     * Writes a configuration with an idempotent route and one for requests that run at most once, both of the plain
-     * service, and one for streams of the model servers.
-     */
+    /** Writes a configuration with an idempotent route of the plain service and one for streams of the model servers. */
     void configure(long version) {
         List<Object> routes = List.of(
-            route("read", "/read/", "idempotent", 2L, PLAIN), route("order", "/order/", "non_idempotent", 1L, PLAIN),
-            route("stream", "/stream/", "streaming", 1L, MODEL));
+            route("read", "/read/", "idempotent", 2L, PLAIN), route("stream", "/stream/", "streaming", 1L, MODEL));
         Map<String, Object> plain =
             Json.object("name", PLAIN, "health_path", "/healthz", "max_connections", 100L, "protocol", "h1", "tls", false);
         Map<String, Object> model =
@@ -144,8 +143,12 @@
         return new Answer(status, whole, (System.nanoTime() - started) / 1_000_000);
     }
 
+    /** Ends the gateways and deletes their settings and logs. */
     @Override
     public void close() {
         gateways.forEach(Gateway::destroy);
+        File[] files = folder.toFile().listFiles();
+        if (files != null) Arrays.stream(files).forEach(File::delete);
+        folder.toFile().delete();
     }
 }
--- a/review/standins-2/Store.java
+++ b/review/standins-2/Store.java
@@ -52,12 +52,6 @@
         if (entry != null) log(kind, new Entry(name, ++revision, entry.created(), entry.spec()), true, false);
     }
 
-    /** What the system wrote to the object [name] of [kind]; null if it does not exist. */
-    synchronized Object spec(String kind, String name) {
-        Entry entry = kind(kind).get(name);
-        return entry == null ? null : entry.spec();
-    }
-
     /** Goes away for [awayMs] and comes back from a copy that was made [ageMs] before that. */
     void drill(long ageMs, long awayMs) throws InterruptedException {
         synchronized (this) {
