review: keep the killed holder of case 9 down no longer than the site does

Cause: the script left the killed gateway down until the end of a round, longer than the largest for_s of a killed holder in the site file (3.5 s).

The check is the same.

--- a/review/standins-2/Drill.java
+++ b/review/standins-2/Drill.java
@@ -1,4 +1,6 @@
+import java.io.IOException;
 import java.io.OutputStream;
+import java.io.UncheckedIOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -18,6 +20,9 @@
     private static final long COPY_AGE_MS = 3000;
     private static final long AWAY_MS = 500;
     private static final double STABLE_S = 3;
+
+    /** The longest `for_s` of a killed holder in the site file. */
+    private static final long DOWN_MS = 3500;
     private static final int SUCCESSION_S = 14;
     private static final int WATCHED_S = 10;
     private static final int START_GAP_MS = 430;
@@ -68,6 +73,7 @@
             if (trouble) {
                 record.say("round " + round + ": " + holder.name + ", which holds the duties, is killed");
                 holder.signal("KILL");
+                Http.thread(() -> startAgain(holder));
                 int before = count();
                 if (!awaitCall(before, holder.name, SUCCESSION_S)) throw new IllegalStateException("no successor");
                 record.say("successor: " + last().holder() + " with generation number " + last().token());
@@ -76,15 +82,20 @@
             }
             Thread.sleep(WATCHED_S * 1000);
             if (broken()) return 1;
-            if (trouble) {
-                holder.start();
-                Thread.sleep(3000);
-            }
         }
         active.set(false);
         return 0;
     }
 
+    private static void startAgain(Gateway holder) {
+        HostileCrowd.pause(DOWN_MS);
+        try {
+            holder.start();
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+    }
+
     private synchronized int count() {
         return calls.size();
     }
