Send the counts of a usage window in one version across a restore

Cause: the conditional create that fixes a window's counts is lost with the rest of what the store acknowledged since the copy, and succeeds again with counts added up from older VM records. Ruled out: one process that reports twice; the reports had two senders.

Change: counts are final once any VM has learnt them. The VMs that may hold the lease publish them in their records, and a window that a holder of an earlier era may have reported is left out if nobody knows its counts.

--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/fleet/VmRecord.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/fleet/VmRecord.kt
@@ -6,6 +6,7 @@
 import io.tarragonport.api.id.ServiceId
 import io.tarragonport.api.id.VmId
 import io.tarragonport.api.peer.CrashRecord
+import io.tarragonport.core.store.EraSighting
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
@@ -16,7 +17,8 @@
  * no harm. [demand] is its load on each service. [crashes] lists the requests, by fingerprint, that were in flight when
  * a server dropped its connection. [heartbeat] is incremented with each write, and the next one follows after
  * [nextInMs] milliseconds. [highestToken] is the highest fencing token known to the VM, kept here because the store can
- * lose the lease object's latest content.
+ * lose the lease object's latest content. For the same reason, [era] tells since when the store's era is known and
+ * [finalCounts] holds the counts of recent windows that may have been reported.
  */
 @Serializable
 data class VmRecord(
@@ -29,4 +31,6 @@
     val crashes: List<CrashRecord> = emptyList(),
     val nextInMs: Long = FleetIntervals.RECORD_INTERVAL.inWholeMilliseconds,
     val highestToken: FencingToken = FencingToken(0),
+    val era: EraSighting? = null,
+    val finalCounts: Map<Long, Map<OrganisationId, Long>> = emptyMap(),
 )
--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/fleet/VmRecordTable.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/fleet/VmRecordTable.kt
@@ -62,6 +62,9 @@
         return totals
     }
 
+    /** Records of all VMs, also of those that have ended. */
+    fun records(): List<VmRecord> = byName.values.map { it.record }
+
     /** The highest fencing token known to any VM. */
     fun highestToken(): FencingToken = byName.values.maxOfOrNull { it.record.highestToken } ?: FencingToken(0)
 
--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/lease/LeaseStateMachine.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/lease/LeaseStateMachine.kt
@@ -46,8 +46,7 @@
     private var released = false
     private var restoredAt: ComparableTimeMark? = null
 
-    /** Until then no other process can hold the lease, because this one held it under a token that it cannot use now. */
-    private var reacquirableUntil: ComparableTimeMark? = null
+    private var interrupted: InterruptedLease? = null
 
     /** The highest fencing token that this process knows. */
     var highestFencingToken = FencingToken(0)
@@ -56,6 +55,9 @@
     /** Fencing token of the held lease, even after its validity has expired. */
     val fencingToken: FencingToken? get() = confirmedLease?.record?.fencingToken
 
+    /** Since when no other process has held the held lease; null without a lease. */
+    val heldSince: ComparableTimeMark? get() = confirmedLease?.heldSince
+
     /** The next action; a process that is not [eligible] renews a lease that it holds but acquires none. */
     fun next(eligible: Boolean): LeaseAction {
         val now = clock.markNow()
@@ -140,7 +142,7 @@
      */
     fun onStoreRestored() {
         val now = clock.markNow()
-        confirmedLease?.let { reacquirableUntil = it.sentAt + settings.validity }
+        confirmedLease?.let { interrupted = InterruptedLease(it.heldSince, it.sentAt + settings.validity) }
         clearLease()
         restoredAt = now
         observed = null
@@ -175,7 +177,7 @@
     private fun canAcquire(now: ComparableTimeMark): Boolean =
         acquireDue <= now && observed?.let { reacquirable(now) || freeAt(it) <= now } ?: false
 
-    private fun reacquirable(now: ComparableTimeMark): Boolean = reacquirableUntil?.let { now < it } ?: false
+    private fun reacquirable(now: ComparableTimeMark): Boolean = interrupted?.let { now < it.until } ?: false
 
     private fun freeAt(lease: ObservedLease): ComparableTimeMark {
         val record = lease.record
@@ -241,7 +243,7 @@
             }
 
             confirmedLease == null && attempt.record.fencingToken < highestFencingToken -> {
-                reacquirableUntil = attempt.sentAt + settings.validity
+                interrupted = InterruptedLease(now, attempt.sentAt + settings.validity)
                 observe(version, attempt.record, now)
             }
 
@@ -261,9 +263,10 @@
         check(previous == null || previous.record.fencingToken == token) { "a renewal changed the fencing token" }
         check(attempt.sentAt <= now) { "the monotonic clock went backwards" }
         onTokenSeen(token)
-        reacquirableUntil = null
         val ordersFrom = previous?.ordersFrom ?: (now + settings.takeoverDelay)
-        confirmedLease = ConfirmedLease(version, attempt.record, attempt.sentAt, ordersFrom)
+        val heldSince = previous?.heldSince ?: interrupted?.takeIf { attempt.sentAt < it.until }?.heldSince ?: now
+        confirmedLease = ConfirmedLease(version, attempt.record, attempt.sentAt, ordersFrom, heldSince)
+        interrupted = null
         observed = null
         renewDue = attempt.sentAt + settings.renewInterval
         if (!releasing) {
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ControlModule.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ControlModule.kt
@@ -37,6 +37,7 @@
 import io.tarragonport.wire.ConfigurationDecoder
 import io.tarragonport.wire.Evacuations
 import io.tarragonport.wire.ServerDecoder
+import io.tarragonport.wire.UserPlatformDuties
 import io.tarragonport.wire.UserPlatformObjectStore
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
@@ -187,7 +188,7 @@
             DutyModule(
                 settings,
                 LeaseOwner(settings.vmId, incarnation),
-                PlatformHttp(it, DutyModule.TIMEOUTS, loop),
+                UserPlatformDuties(PlatformHttp(it, DutyModule.TIMEOUTS, loop)),
                 store,
                 dispatcher,
                 clock,
@@ -233,7 +234,7 @@
         runOnTrafficThread { crashGuard = it.crashes }
         storeEras.addListener { era ->
             log.event(GatewayEvents.STORE_RESTORED, "era" to era)
-            duties?.storeRestored()
+            duties?.storeRestored(era)
         }
         loops.launch("configuration watch") { configurationWatcher.run() }
         loops.launch("server watch") { serverWatcher.run() }
@@ -319,6 +320,8 @@
             crashes = crashGuard?.recentCrashes.orEmpty(),
             nextInMs = intervals.recordInterval.inWholeMilliseconds,
             highestToken = duties?.highestToken ?: FencingToken(0),
+            era = duties?.eraSighting,
+            finalCounts = duties?.publishedCounts().orEmpty(),
         )
     }
 
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/DutyModule.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/DutyModule.kt
@@ -1,19 +1,22 @@
 package io.tarragonport.daemon.gateway.control
 
+import io.tarragonport.api.gateway.DutyInterface
 import io.tarragonport.api.gateway.GatewayService
 import io.tarragonport.api.gateway.RegisteredServer
 import io.tarragonport.api.id.FencingToken
+import io.tarragonport.api.id.OrganisationId
+import io.tarragonport.api.id.StoreEra
 import io.tarragonport.api.platform.ObjectStore
 import io.tarragonport.api.settings.GatewaySettings
 import io.tarragonport.core.gateway.fleet.VmRecordTable
+import io.tarragonport.core.gateway.usage.FinalCounts
 import io.tarragonport.core.lease.ClockFencingTokens
 import io.tarragonport.core.lease.LeaseOwner
 import io.tarragonport.core.lease.LeaseSettings
+import io.tarragonport.core.store.EraSighting
 import io.tarragonport.daemon.lease.LeaseCandidacy
 import io.tarragonport.daemon.lease.LeaseLoop
-import io.tarragonport.platform.PlatformHttp
 import io.tarragonport.platform.PlatformTimeouts
-import io.tarragonport.wire.UserPlatformDuties
 import kotlinx.coroutines.CoroutineDispatcher
 import kotlin.time.Clock
 import kotlin.time.Duration
@@ -22,7 +25,7 @@
 import kotlin.time.TimeSource
 
 /**
- * Wires the lease and the duties of its holder: usage reports to [platform] and orders of backend servers.
+ * Wires the lease and the duties of its holder: usage reports and orders of backend servers, sent to [platform].
  *
  * [services] and [servers] supply the scaled services and the registered servers; they are called on [dispatcher], the
  * dispatcher of control loops, as are all functions of this class.
@@ -30,11 +33,11 @@
 internal class DutyModule(
     settings: GatewaySettings,
     owner: LeaseOwner,
-    platform: PlatformHttp,
+    platform: DutyInterface,
     store: ObjectStore,
     dispatcher: CoroutineDispatcher,
     clock: TimeSource.WithComparableMarks,
-    wallClock: Clock,
+    private val wallClock: Clock,
     private val recordTable: VmRecordTable,
     fleetLoop: FleetLoop,
     private val services: () -> Collection<GatewayService>,
@@ -53,14 +56,15 @@
             ClockFencingTokens(owner, wallClock),
             candidacy::eligible,
         )
-    private val platformDuties = UserPlatformDuties(platform)
+    private val finalCounts = FinalCounts(settings.usageWindowSeconds.seconds)
     private val usage =
         UsageDuty(
             settings.vmId,
             store,
-            platformDuties,
+            platform,
             lease,
             recordTable,
+            finalCounts,
             wallClock,
             settings.usageWindowSeconds.seconds,
             settings.usageDueSeconds.seconds,
@@ -70,7 +74,7 @@
     private val scaling =
         ScalingDuty(
             settings.vmId,
-            platformDuties,
+            platform,
             lease,
             recordTable,
             ScalingBaselines(store),
@@ -92,11 +96,30 @@
     /** Releases the lease and waits up to [timeout] until this is written. */
     suspend fun release(timeout: Duration) = lease.release(timeout)
 
-    /** Gives up the lease because the object store was restored from an older copy. */
-    fun storeRestored() = lease.storeRestored()
+    /** The store's era and since when it is known; null for a store without eras. */
+    val eraSighting: EraSighting? get() = finalCounts.sighting
+
+    /**
+     * Final counts to publish in this VM's record. Only the VMs that may acquire the lease publish them, which is enough
+     * to keep them through the loss of a holder.
+     */
+    fun publishedCounts(): Map<Long, Map<OrganisationId, Long>> =
+        if (candidacy.eligible()) finalCounts.since(usage.firstDueWindow) else emptyMap()
+
+    /** Gives up the lease because the object store was restored from an older copy and is in [era] now. */
+    fun storeRestored(era: StoreEra) {
+        finalCounts.eraBegan(era, wallClock.now().toEpochMilliseconds())
+        lease.storeRestored()
+    }
 
     /** Takes note of what other VMs know, after the VM records were read. */
-    fun recordsRead() = lease.tokenSeen(recordTable.highestToken())
+    fun recordsRead() {
+        lease.tokenSeen(recordTable.highestToken())
+        recordTable.records().forEach { record ->
+            record.era?.let(finalCounts::learn)
+            record.finalCounts.forEach(finalCounts::learn)
+        }
+    }
 
     private suspend fun scale(duty: ScalingDuty) {
         val scaledServices = services()
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/lease/LeaseGuard.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/lease/LeaseGuard.kt
@@ -11,6 +11,9 @@
      */
     val heldToken: StateFlow<FencingToken?>
 
+    /** How long no other VM has held the lease; null if this VM does not hold it. */
+    fun heldFor(): Duration?
+
     /**
      * The fencing token to act under, or null if the lease does not remain valid for at least [longestCall]. Must be
      * called immediately before the request is sent; callable from any thread.
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/lease/LeaseLoop.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/lease/LeaseLoop.kt
@@ -63,6 +63,8 @@
 
     override val heldToken: StateFlow<FencingToken?> = mutableHeldToken.asStateFlow()
 
+    override fun heldFor(): Duration? = stateMachine.heldSince?.elapsedNow()
+
     override fun authorize(longestCall: Duration): FencingToken? {
         val permit = stateMachine.permit ?: return null
         if (!permit.covers(clock.markNow(), longestCall)) {
--- a/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/placement/WeightLoopTest.kt
+++ b/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/placement/WeightLoopTest.kt
@@ -45,6 +45,8 @@
     ) : LeaseGuard {
         override val heldToken = MutableStateFlow(token)
 
+        override fun heldFor(): Duration? = null
+
         override fun authorize(longestCall: Duration): FencingToken? = token.takeIf { remainingChecks-- > 0 }
     }
 
--- a/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/store/InMemoryObjectStore.kt
+++ b/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/store/InMemoryObjectStore.kt
@@ -4,6 +4,7 @@
 import arrow.core.left
 import arrow.core.right
 import io.tarragonport.api.id.ObjectVersion
+import io.tarragonport.api.id.StoreEra
 import io.tarragonport.api.platform.ObjectEntry
 import io.tarragonport.api.platform.ObjectListing
 import io.tarragonport.api.platform.ObjectStore
@@ -17,6 +18,26 @@
     private val objects = sortedMapOf<String, StoredObject>()
     private var revision = 0L
 
+    /** Content of the store at one moment. */
+    class Copy internal constructor(
+        internal val objects: Map<String, StoredObject>,
+        internal val revision: Long,
+    )
+
+    /** Rises with each [restore]. */
+    var era = StoreEra(1)
+        private set
+
+    fun copy() = Copy(objects.toMap(), revision)
+
+    /** Replaces the content by [copy]; revisions after that of [copy] are assigned again. */
+    fun restore(copy: Copy) {
+        objects.clear()
+        objects += copy.objects
+        revision = copy.revision
+        era = StoreEra(era.value + 1)
+    }
+
     /** Names of all objects. */
     val names: List<String> get() = objects.keys.toList()
 
