List servers and evacuations again when the store is restored

What was seen, in tests only: after a restore a server that begins to leave stays in use, one that is gone stays listed, and changes of before the restore are taken for newer ones, because revisions are compared across the restore and a short interruption leads to no new listing.

Change: a new era voids the versions of all entries and leads to a new listing; watches and listings that span two eras are dropped; messages between VMs carry the era, so that late changes are ignored and the first VM to see an era tells the others. Leaving servers stay so if the copy does not know of it yet.

--- a/tarragonport-api/src/main/kotlin/io/tarragonport/api/peer/PeerMessage.kt
+++ b/tarragonport-api/src/main/kotlin/io/tarragonport/api/peer/PeerMessage.kt
@@ -4,6 +4,7 @@
 import io.tarragonport.api.id.BackendServerId
 import io.tarragonport.api.id.ConfigurationVersion
 import io.tarragonport.api.id.ObjectVersion
+import io.tarragonport.api.id.StoreEra
 import io.tarragonport.api.id.VmId
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
@@ -127,12 +128,16 @@
         @CborLabel(1) val sequence: Long,
     ) : PeerMessage
 
-    /** Announces the active [configuration] of a gateway and its [address] for peer messages. */
+    /**
+     * Announces the active [configuration] of a gateway, its [address] for peer messages, and the latest [era] of the
+     * object store that it has seen.
+     */
     @Serializable
     @SerialName("gs")
     data class GatewayState(
         @CborLabel(1) val configuration: ConfigurationVersion,
         @CborLabel(2) val address: String,
+        @CborLabel(3) val era: StoreEra? = null,
     ) : PeerMessage
 
     /**
@@ -146,11 +151,15 @@
         @CborLabel(2) val withServers: Boolean = true,
     ) : PeerMessage
 
-    /** Changes of backend servers' entries that a VM has just learnt of, which the receiver passes on if they are new. */
+    /**
+     * Changes of backend servers' entries in the store's [era] that a VM has just learnt of, which the receiver passes on
+     * if they are new.
+     */
     @Serializable
     @SerialName("gc")
     data class GatewayServerChanges(
         @CborLabel(1) val changes: List<ServerEntryChange>,
+        @CborLabel(2) val era: StoreEra? = null,
     ) : PeerMessage
 
     /**
--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/fleet/FleetIntervals.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/fleet/FleetIntervals.kt
@@ -28,6 +28,9 @@
      */
     val changeBatchDelay: Duration = CHANGE_BATCH_DELAY * scale * scale
 
+    /** Time over which the listings of a large fleet are spread after the store was restored from an older copy. */
+    val listingSpread: Duration = LISTING_SPREAD * scale
+
     /** Interval of load reports to other VMs. */
     val loadInterval: Duration = LOAD_INTERVAL * scale
 
@@ -67,6 +70,9 @@
         /** Short enough to detect a stalled connection within the time limit for activating a configuration. */
         val WATCH_TIMEOUT: Duration = 2.5.seconds
 
+        /** With the scale, 400 VMs that list 12,000 servers in pages of 500 stay below 4,000 calls a second. */
+        val LISTING_SPREAD: Duration = 1.seconds
+
         /** Servers of a failure domain are reclaimed, and start, within some tens of milliseconds of each other. */
         val CHANGE_BATCH_DELAY: Duration = 100.milliseconds
     }
--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/registry/EntryVersions.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/registry/EntryVersions.kt
@@ -28,6 +28,12 @@
         listedRevision = revision
     }
 
+    /** Forgets all versions, because the object store was restored from an older copy and assigns revisions again. */
+    fun reset() {
+        known.clear()
+        listedRevision = ObjectVersion.NONE
+    }
+
     /** Whether [change] is newer than what is known of its entry; if so, it is known from now on. */
     fun accept(change: ObjectEntry): Boolean {
         val previous = known[change.name]
--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/registry/ServerRegistry.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/registry/ServerRegistry.kt
@@ -12,13 +12,15 @@
  *
  * Entries expire during an outage of the platform's store, and live servers register again within
  * [REREGISTRATION_GRACE] of its end. A listing after an outage therefore removes only entries that stay missing for
- * that long. A removal reported by a watch while the store is available takes effect immediately.
+ * that long. A removal reported by a watch while the store is available takes effect immediately. If the store was
+ * restored from an older copy, a server that is known to leave stays so although the copy says otherwise.
  */
 class ServerRegistry(
     private val clock: TimeSource.WithComparableMarks,
 ) {
     private val entries = mutableMapOf<BackendServerId, RegisteredServer>()
     private val missing = mutableMapOf<BackendServerId, ComparableTimeMark>()
+    private val leavingAtRestore = mutableMapOf<BackendServerId, Long>()
     private var graceEndsAt: ComparableTimeMark? = null
 
     /** Registered servers, including leaving ones and those within the grace period. */
@@ -46,7 +48,9 @@
     /** Adds or replaces an entry. */
     fun put(server: RegisteredServer) {
         missing -= server.id
-        entries[server.id] = server
+        val leaving = leavingAtRestore[server.id] == server.startedAtMs
+        if (!leaving) leavingAtRestore -= server.id
+        entries[server.id] = if (leaving) server.copy(leaving = true) else server
     }
 
     /** Removes an entry, after the grace period if it may have expired during an outage. */
@@ -55,6 +59,15 @@
         if (due == null) discard(id) else missing.putIfAbsent(id, due)
     }
 
+    /**
+     * Prepares for the listing of a store that was restored from an older copy, in which entries may be missing or older
+     * than those known.
+     */
+    fun storeRestored() {
+        entries.values.filter { it.leaving }.forEach { leavingAtRestore[it.id] = it.startedAtMs }
+        storeRecovered()
+    }
+
     /** Starts the grace period after an outage of the store. */
     fun storeRecovered() {
         graceEndsAt = clock.markNow() + REREGISTRATION_GRACE
@@ -71,6 +84,7 @@
     private fun discard(id: BackendServerId) {
         missing -= id
         entries -= id
+        leavingAtRestore -= id
     }
 
     private fun activeGraceEnd(): ComparableTimeMark? = graceEndsAt?.takeIf { it > clock.markNow() }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ConfigurationUpdater.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ConfigurationUpdater.kt
@@ -39,6 +39,8 @@
 
     override fun storeRegained() = Unit
 
+    override fun storeRestored() = Unit
+
     override fun storeRecovered() = Unit
 
     /** Applies the configuration [value] if it is newer than the active one. */
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ControlModule.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ControlModule.kt
@@ -132,6 +132,7 @@
             dispatcher,
             configurationUpdater,
             serverListUpdater,
+            storeEras,
             interval = { intervals.announceInterval },
             clock = clock,
             onOtherChanges = evacuationUpdater::onPeerChanges,
@@ -235,6 +236,8 @@
         storeEras.addListener { era ->
             log.event(GatewayEvents.STORE_RESTORED, "era" to era)
             duties?.storeRestored(era)
+            listOfNotNull(configurationWatcher, serverWatcher, evacuationWatcher).forEach { it.storeRestored() }
+            peers.storeRestored()
         }
         loops.launch("configuration watch") { configurationWatcher.run() }
         loops.launch("server watch") { serverWatcher.run() }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/EvacuationUpdater.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/EvacuationUpdater.kt
@@ -46,6 +46,8 @@
 
     override fun storeRegained() = Unit
 
+    override fun storeRestored() = versions.reset()
+
     override fun storeRecovered() = Unit
 
     private fun update(current: Set<FailureDomainId>) {
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/GatewayPeers.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/GatewayPeers.kt
@@ -6,6 +6,7 @@
 import io.tarragonport.api.peer.PeerEnvelope
 import io.tarragonport.api.peer.PeerMessage
 import io.tarragonport.api.peer.ServerEntryChange
+import io.tarragonport.core.store.StoreEras
 import io.tarragonport.daemon.peer.PeerTransport
 import io.tarragonport.wire.ServerDecoder
 import kotlinx.coroutines.CoroutineDispatcher
@@ -26,7 +27,8 @@
  * Each VM announces the version of its active configuration to [FANOUT] others. A VM that has an older version, or
  * none, requests it; an older version is never applied. Addresses come from the VM records, the settings and messages.
  * In a large fleet most VMs watch the object store with a lag; changes of configuration and servers reach them by
- * [spreadChanges] sooner. What is lost on the way comes with their own watch.
+ * [spreadChanges] sooner. What is lost on the way comes with their own watch. Messages carry the era of the object store:
+ * a later era than that in [eras] begins here too, and changes of an earlier one are ignored.
  */
 internal class GatewayPeers(
     private val vm: VmId,
@@ -36,6 +38,7 @@
     private val dispatcher: CoroutineDispatcher,
     private val configurationUpdater: ConfigurationUpdater,
     private val serverListUpdater: ServerListUpdater,
+    private val eras: StoreEras,
     private val interval: () -> Duration,
     private val clock: TimeSource.WithComparableMarks,
     private val random: Random = Random.Default,
@@ -73,7 +76,7 @@
     }
 
     /** Announces the version of the active configuration to [FANOUT] random VMs. */
-    fun announceOnce() = sendToRandom(FANOUT, PeerMessage.GatewayState(version(), ownAddress))
+    fun announceOnce() = sendToRandom(FANOUT, PeerMessage.GatewayState(version(), ownAddress, eras.current))
 
     /** Passes [change] on to other VMs with the next round of [spreadChanges]. */
     fun passOn(change: ServerEntryChange) {
@@ -81,6 +84,9 @@
         changeSignal.trySend(Unit)
     }
 
+    /** Discards the changes that have not been sent, because the object store was restored from an older copy. */
+    fun storeRestored() = unsentChanges.clear()
+
     /** Announces a new active configuration with the next round of [spreadChanges]. */
     fun configurationChanged() {
         changeSignal.trySend(Unit)
@@ -97,12 +103,12 @@
     /** Sends the changes collected since the last round, and the version of the configuration if it is new. */
     fun spreadOnce() {
         if (unsentChanges.isNotEmpty()) {
-            sendToRandom(SPREAD_FANOUT, PeerMessage.GatewayServerChanges(unsentChanges.toList()))
+            sendToRandom(SPREAD_FANOUT, PeerMessage.GatewayServerChanges(unsentChanges.toList(), eras.current))
             unsentChanges.clear()
         }
         if (version() != announcedVersion) {
             announcedVersion = version()
-            sendToRandom(SPREAD_FANOUT, PeerMessage.GatewayState(version(), ownAddress))
+            sendToRandom(SPREAD_FANOUT, PeerMessage.GatewayState(version(), ownAddress, eras.current))
         }
     }
 
@@ -117,6 +123,7 @@
         when (val message = envelope.message) {
             is PeerMessage.GatewayState -> {
                 updatePeers(listOf(message.address))
+                eras.accept(message.era)
                 val withoutServers = serverListUpdater.registered.isEmpty()
                 val newer = message.configuration > version() && !alreadyRequested(message.configuration)
                 if (newer || withoutServers) {
@@ -138,6 +145,7 @@
             }
 
             is PeerMessage.GatewayServerChanges -> {
+                if (!eras.accept(message.era)) return
                 val (servers, others) = message.changes.partition { it.name.startsWith(ServerDecoder.PREFIX) }
                 serverListUpdater.onPeerChanges(servers)
                 onOtherChanges(others)
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ObjectListener.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ObjectListener.kt
@@ -23,6 +23,9 @@
     /** The object store responds again, possibly after a short interruption. */
     fun storeRegained()
 
+    /** The object store was restored from an older copy: versions of before are void, and a listing follows. */
+    fun storeRestored()
+
     /** The object store responds again after an outage in which entries may have expired; a listing follows. */
     fun storeRecovered()
 }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ObjectWatcher.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ObjectWatcher.kt
@@ -9,6 +9,7 @@
 import io.tarragonport.core.gateway.fleet.FleetIntervals
 import io.tarragonport.daemon.gateway.exchange.GatewayEvents
 import kotlinx.coroutines.delay
+import kotlin.random.Random
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -21,7 +22,8 @@
  * An interrupted watch resumes at its last revision. After an outage, or if the object store no longer keeps the
  * changes since that revision, all objects are listed again. A stalled connection is detected after the wait time of
  * [intervals] plus the client's timeout margin. If [recentChanges] is given, it is used unless [watchesCurrent]: in a
- * large fleet a few VMs watch the current state and pass changes on to the others. [watchTimeout] replaces the wait time
+ * large fleet a few VMs watch the current state and pass changes on to the others, which also list later after the store
+ * was restored from an older copy. [watchTimeout] replaces the wait time
  * of [intervals] for objects that change rarely.
  */
 internal class ObjectWatcher(
@@ -33,12 +35,21 @@
     private val recentChanges: RecentChanges? = null,
     private val watchesCurrent: () -> Boolean = { true },
     private val watchTimeout: (() -> Duration)? = null,
+    private val random: Random = Random.Default,
     private val intervals: () -> FleetIntervals,
 ) {
     private var lastRevision: ObjectVersion? = null
+    private var restored = false
     private var failingSince: ComparableTimeMark? = null
     private var retryDelay = FIRST_RETRY_DELAY
 
+    /** Lists all objects again, because the object store was restored from an older copy. */
+    fun storeRestored() {
+        restored = true
+        if (lastRevision != null) listener.storeRestored()
+        lastRevision = null
+    }
+
     /** Runs until cancelled. */
     suspend fun run() {
         while (true) {
@@ -49,16 +60,18 @@
     private suspend fun step() {
         val from = lastRevision
         if (from == null) {
+            if (restored && !watchesCurrent()) delay(intervals().listingSpread * random.nextDouble())
             store.list(prefix, withValues = true).fold({ failed(it) }, ::listed)
         } else {
-            watch(from).fold({ failed(it) }) { changed(it, from) }
+            watch(from).fold({ failed(it) }) { if (lastRevision == from) changed(it, from) }
         }
     }
 
     private fun listed(listing: ObjectListing) {
-        val outageDuration = endOutage()
+        val afterOutage = endOutage() != null || restored
+        restored = false
         lastRevision = listing.revision
-        listener.onListing(listing.objects, outageDuration != null, listing.revision)
+        listener.onListing(listing.objects, afterOutage, listing.revision)
     }
 
     private suspend fun watch(from: ObjectVersion): Either<PlatformError, ObjectListing> {
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ServerListUpdater.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/control/ServerListUpdater.kt
@@ -98,6 +98,11 @@
         storeAway = false
     }
 
+    override fun storeRestored() {
+        versions.reset()
+        registry.storeRestored()
+    }
+
     override fun storeRecovered() = registry.storeRecovered()
 
     /** Removes entries that have not reappeared within the grace period after an outage; runs until cancelled. */
--- a/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/GatewayPeersTest.kt
+++ b/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/GatewayPeersTest.kt
@@ -9,6 +9,7 @@
 import io.tarragonport.api.peer.PeerEnvelope
 import io.tarragonport.api.platform.ObjectEntry
 import io.tarragonport.core.gateway.registry.ServerRegistry
+import io.tarragonport.core.store.StoreEras
 import io.tarragonport.daemon.gateway.control.ConfigurationUpdater
 import io.tarragonport.daemon.gateway.control.ControlLog
 import io.tarragonport.daemon.gateway.control.GatewayPeers
@@ -41,6 +42,7 @@
     ) : PeerTransport {
         val address = "10.0.0.$number:7000"
         val log = ControlLog { _, _ -> }
+        val eras = StoreEras()
         val configurationUpdater = ConfigurationUpdater(log) { }
         var servers = emptyList<RegisteredServer>()
         val serverListUpdater: ServerListUpdater =
@@ -57,6 +59,7 @@
                 Dispatchers.Unconfined,
                 configurationUpdater,
                 serverListUpdater,
+                eras,
                 { 500.milliseconds },
                 TestTimeSource(),
                 Random(number),
--- a/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/ObjectWatcherTest.kt
+++ b/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/ObjectWatcherTest.kt
@@ -69,6 +69,8 @@
 
         override fun onChange(entry: ObjectEntry) = Unit
 
+        override fun storeRestored() = Unit
+
         override fun storeRecovered() = Unit
     }
 
