--- a/tarragonport-standins/src/main/kotlin/io/tarragonport/tool/fault/DisabledProtections.kt
+++ b/tarragonport-standins/src/main/kotlin/io/tarragonport/tool/fault/DisabledProtections.kt
@@ -108,6 +108,8 @@
     private object PermissiveGuard : LeaseGuard {
         override val heldToken: StateFlow<FencingToken?> = MutableStateFlow(FencingToken(1))
 
+        override fun heldFor(): Duration = Duration.INFINITE
+
         override fun authorize(longestCall: Duration): FencingToken = FencingToken(1)
     }
 }
--- a/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/platform/ModelLoadingOverHttpTest.kt
+++ b/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/platform/ModelLoadingOverHttpTest.kt
@@ -51,6 +51,8 @@
             var fencingToken: FencingToken? = FencingToken(7)
             override val heldToken = MutableStateFlow(fencingToken)
 
+            override fun heldFor(): Duration = Duration.INFINITE
+
             override fun authorize(longestCall: Duration): FencingToken? = fencingToken
         }
 
