--- a/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/CrowdFixture.kt
+++ b/tarragonport-standins/src/test/kotlin/io/tarragonport/standin/fleet/CrowdFixture.kt
@@ -27,6 +27,7 @@
     private val link = LoopbackLink(store.start())
     private val server =
         ScriptedServer("s") { call, socket ->
+            if (call.target.endsWith("/slow")) Thread.sleep(SLOW_RESPONSE_MS)
             val body = if (call.target.endsWith("/large")) "x".repeat(LARGE_RESPONSE_BYTES) else "ok"
             socket.getOutputStream().send(ServerResponses.plain(call, body))
         }
@@ -50,21 +51,34 @@
         count: Int,
         port: Int = callerPort,
         act: (Socket) -> Unit,
+    ) = callers(count, port, act).forEach { it.join(CROWD_TIME_MS) }
+
+    /** Like [crowd], for callers that go on until the fixture is closed. */
+    fun lastingCrowd(
+        count: Int,
+        port: Int = callerPort,
+        act: (Socket) -> Unit,
     ) {
-        val callers =
-            (1..count).map {
-                val socket = Socket("127.0.0.1", port)
-                synchronized(sockets) { sockets += socket }
-                thread(isDaemon = true) {
-                    try {
-                        act(socket)
-                    } catch (_: IOException) {
-                        // The gateway closed the connection, as it may.
-                    }
+        callers(count, port, act)
+        Thread.sleep(CROWD_TIME_MS)
+    }
+
+    private fun callers(
+        count: Int,
+        port: Int,
+        act: (Socket) -> Unit,
+    ): List<Thread> =
+        (1..count).map {
+            val socket = Socket("127.0.0.1", port)
+            synchronized(sockets) { sockets += socket }
+            thread(isDaemon = true) {
+                try {
+                    act(socket)
+                } catch (_: IOException) {
+                    // The gateway closed the connection, as it may.
                 }
             }
-        callers.forEach { it.join(CROWD_TIME_MS) }
-    }
+        }
 
     /** Checks, while the crowd is connected, that the process lives within its bounds and serves an ordinary request. */
     fun check(title: String) {
@@ -158,6 +172,7 @@
 
         /** The crowd, and as many as an idle process has. */
         const val MAXIMUM_DESCRIPTORS = 400
+        const val SLOW_RESPONSE_MS = 3_000L
         private const val CROWD_TIME_MS = 8_000L
         private const val ATTEMPTS = 60
         private const val ATTEMPT_INTERVAL_MS = 250L
