Bound the estimate of an engine's prompt cache by its entries

Cause: the estimate evicts by tokens only, so the memory of an entry is bounded in the caller's own unit, and not at all for parts of no tokens or services without an engine. It has 4,096 parts a server at most now.

--- a/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/PromptCacheEstimate.kt
+++ b/tarragonport-core/src/main/kotlin/io/tarragonport/core/gateway/balance/PromptCacheEstimate.kt
@@ -5,7 +5,8 @@
 /**
  * Estimate of the prompt parts in a model engine's cache, derived from the prompts that were sent to it.
  *
- * Like the engine, it evicts the least recently used parts beyond [capacityTokens].
+ * Like the engine, it evicts the least recently used parts beyond [capacityTokens], and beyond [MAXIMUM_PARTS], because
+ * parts can be as short as callers like.
  */
 class PromptCacheEstimate {
     private val parts = LinkedHashMap<String, Int>(16, 0.75f, true)
@@ -29,7 +30,7 @@
         shared.forEach { part ->
             if (parts.put(part.id, part.tokens) == null) totalTokens += part.tokens
         }
-        while (totalTokens > capacityTokens && parts.isNotEmpty()) {
+        while ((totalTokens > capacityTokens || parts.size > MAXIMUM_PARTS) && parts.isNotEmpty()) {
             val oldest = parts.entries.first()
             parts.remove(oldest.key)
             totalTokens -= oldest.value
@@ -41,4 +42,9 @@
         parts.clear()
         totalTokens = 0
     }
+
+    companion object {
+        /** More than an engine keeps of parts of usual length, and half a megabyte of memory at most. */
+        const val MAXIMUM_PARTS = 4_096
+    }
 }
