Leave requests that were sent ahead undecoded until it is their turn

Found beside it: some hundred requests that arrive together overflow the stack, since each was handled inside the response to the one before, and a connection decodes without bound in one round of the event loop.

Cause: requests that waited were decoded and counted by their bytes on the wire, which are a small part of their memory, and the bound was checked only after a whole read. They wait as the bytes that arrived now, and the decoder goes on once the request before has its response, the caller reads and the connection's turn is not used up. What waits can be given up when all callers hold too much. A connection whose caller reads nothing of its responses for an idle timeout is closed.

--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/BytesReceivedHandler.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/BytesReceivedHandler.kt
@@ -4,7 +4,7 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 
-/** Notifies [connection] of received bytes before the decoder has a complete request head. */
+/** Notifies [connection] of received bytes before the decoder has a complete request head, and after decoding. */
 internal class BytesReceivedHandler(
     private val connection: CallerConnection,
 ) : ChannelInboundHandlerAdapter() {
@@ -14,5 +14,6 @@
     ) {
         connection.bytesReceived((message as? ByteBuf)?.readableBytes() ?: 0)
         context.fireChannelRead(message)
+        connection.bytesDecoded()
     }
 }
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/CallerBuffers.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/CallerBuffers.kt
@@ -1,7 +1,5 @@
 package io.tarragonport.daemon.gateway.ingress
 
-import io.netty.handler.codec.http.HttpContent
-import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
 import io.tarragonport.core.gateway.overload.BufferBudget
 import io.tarragonport.core.gateway.overload.BufferHolder
@@ -9,8 +7,8 @@
 /**
  * What one caller's connection holds in memory, within the budget of all connections.
  *
- * A request that is not complete, and a response that is not read, can be given up; [onDiscard] ends the connection
- * then. A complete request is kept until its response.
+ * A request that is not complete, requests that were sent ahead, and a response that is not read, can be given up;
+ * [onDiscard] ends the connection then. A complete request with nothing behind it is kept until its response.
  */
 internal class CallerBuffers(
     private val budget: BufferBudget,
@@ -18,13 +16,10 @@
 ) : BufferHolder {
     private var headBytes = 0
     private var bodyBytes = 0
-    private var queuedBytes = 0
+    private var waitingBytes = 0
     private var unreadBytes = 0
     private var complete = false
 
-    /** Bytes of requests that were sent ahead and wait. */
-    val queued: Int get() = queuedBytes
-
     /** [bytes] of a head have arrived, which is not complete. */
     fun headReceived(bytes: Int) {
         headBytes = minOf(headBytes + bytes * BYTES_PER_HEAD_BYTE, MAXIMUM_HEAD_BYTES)
@@ -37,9 +32,9 @@
         update()
     }
 
-    /** [bytes] of a body have arrived. */
-    fun bodyReceived(bytes: Int) {
-        bodyBytes += bytes
+    /** The body that is being received takes [bytes]. */
+    fun bodyHeld(bytes: Int) {
+        bodyBytes = bytes
         update()
     }
 
@@ -57,15 +52,10 @@
         update()
     }
 
-    /** [message] of a request that was sent ahead waits. */
-    fun queued(message: HttpObject) {
-        queuedBytes += cost(message)
-        update()
-    }
-
-    /** [message] does not wait any more. */
-    fun dequeued(message: HttpObject) {
-        queuedBytes -= cost(message)
+    /** [bytes] that have arrived are not decoded yet. */
+    fun waiting(bytes: Int) {
+        if (bytes == waitingBytes) return
+        waitingBytes = bytes
         update()
     }
 
@@ -77,7 +67,7 @@
 
     /** The connection has ended. */
     fun clear() {
-        queuedBytes = 0
+        waitingBytes = 0
         unreadBytes = 0
         requestEnded()
     }
@@ -85,16 +75,20 @@
     override fun discardBuffered() = onDiscard()
 
     private fun update() =
-        budget.update(this, headBytes + bodyBytes + queuedBytes + unreadBytes, yields = !complete || unreadBytes > 0)
+        budget.update(
+            this,
+            headBytes + bodyBytes + waitingBytes + unreadBytes,
+            yields =
+                !complete || unreadBytes > 0 || waitingBytes > 0,
+        )
 
-    private fun cost(message: HttpObject): Int =
-        when (message) {
-            is HttpRequest -> message.uri().length + message.headers().size() * BYTES_PER_FIELD
-            is HttpContent -> message.content().readableBytes()
-            else -> 0
-        }
+    private fun cost(request: HttpRequest): Int =
+        BYTES_PER_REQUEST + request.uri().length + request.headers().size() * BYTES_PER_FIELD
 
     private companion object {
+        /** Memory of a decoded request without fields: the message, its fields' container and its state here. */
+        const val BYTES_PER_REQUEST = 1_000
+
         /** Memory of a decoded header field: the entry and two strings. */
         const val BYTES_PER_FIELD = 250
 
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/CallerConnection.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/CallerConnection.kt
@@ -23,7 +23,6 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
-import io.netty.util.concurrent.ScheduledFuture
 import io.tarragonport.api.error.ErrorKind
 import io.tarragonport.api.error.ExecutionStatus
 import io.tarragonport.api.gateway.CallerLimits
@@ -37,20 +36,23 @@
 /**
  * One connection of a caller: reads requests one after the other and writes their responses in the same order.
  *
- * While a request is handled, reading continues so that a closed connection is detected. Pipelined requests are queued
- * in [queued], and reading pauses when it is full. What the connection holds counts in [buffers]: if all callers hold too
- * much, an incomplete request is refused, or the connection of a caller that does not read is closed. After the last response only the output side is shut down at first, because closing a socket with unread bytes resets the
- * connection and can discard the response.
+ * While a request is handled, reading continues so that a closed connection is detected. Pipelined requests wait in
+ * [waiting]. What the connection holds counts in [buffers]: if all callers hold too much, an incomplete request is
+ * refused, or the connection of a caller that does not read is closed. After the last response only the output side is
+ * shut down at first, because closing a socket with unread bytes resets the connection and can discard the response.
  */
 internal class CallerConnection(
     private val limits: CallerLimits,
     private val encoder: CallerResponseEncoder,
     private val requestHandler: RequestHandler,
 ) : ChannelInboundHandlerAdapter(),
-    CallerChannel {
+    CallerChannel,
+    InputGate {
     private lateinit var context: ChannelHandlerContext
+    private lateinit var waiting: WaitingInput
+    private lateinit var timer: InputTimer
+    private lateinit var unread: UnreadOutput
     private val buffers = CallerBuffers(requestHandler.buffers, ::discardBuffered)
-    private val queued = InputQueue(buffers)
     private var partialRequest: PartialRequest? = null
 
     /** A complete request that is handled once everything that has arrived is read, including the caller's close. */
@@ -77,22 +79,34 @@
     private var closeDecision: CloseDecision? = null
     private var receivingHead = false
     private var requestCount = 0L
-    private var timer: ScheduledFuture<*>? = null
+
+    /** Number of the request that was passed on and has no complete response; 0 if there is none. */
+    private var unansweredRequest = 0L
 
     override val writable: Boolean get() = context.channel().isWritable
 
-    /** Whether no request is being handled, received or queued and the connection is not closing. */
+    override val open: Boolean get() = !closing && waiting.open
+
+    override val discarding: Boolean get() = closing
+
+    /** Whether no request is being handled or received, none waits, and the connection is not closing. */
     val idle: Boolean
-        get() = !handlingRequest && !receivingHead && partialRequest == null && queued.isEmpty() && !closing
+        get() = !handlingRequest && !receivingHead && partialRequest == null && waiting.isEmpty && !closing
 
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         context = ctx
+        val decoder = ctx.pipeline().get(StrictRequestDecoder::class.java)
+        val accepting = { partialRequest != null || (!handlingRequest && writable) }
+        waiting = WaitingInput(ctx, decoder, buffers, accepting, ::continueReceiving)
+        decoder.gate = this
+        timer = InputTimer(ctx) { handlingRequest || closing || waiting.awaitsTurn }
+        unread = UnreadOutput(ctx.channel())
     }
 
     override fun channelActive(ctx: ChannelHandlerContext) {
         requestHandler.inputReceived()
         requestHandler.opened(this)
-        startTimer(limits.idleTimeout, ::closeIdle)
+        timer.start(limits.idleTimeout, ::closeIdle)
     }
 
     /** Starts the header timeout with the first of the [bytes] of a request head; later ones do not extend it. */
@@ -101,7 +115,7 @@
         if (receivingHead || idle) buffers.headReceived(bytes)
         if (!idle) return
         receivingHead = true
-        startTimer(limits.headerTimeout) { refuse(ErrorKind.CALLER_TOO_SLOW) }
+        timer.start(limits.headerTimeout) { refuse(ErrorKind.CALLER_TOO_SLOW) }
     }
 
     override fun channelRead(
@@ -111,21 +125,40 @@
         reading = true
         if (message !is HttpObject || closing) {
             ReferenceCountUtil.release(message)
-            reportDiscardedInput()
-        } else if (handlingRequest) {
-            queue(message)
+            inputDiscarded()
         } else {
+            waiting.decoded(message)
             process(message)
         }
     }
 
     override fun channelReadComplete(ctx: ChannelHandlerContext) {
+        waiting.roundEnded()
+        readingEnded()
+    }
+
+    private fun readingEnded() {
         reading = false
         // The close of the connection is reported after this call, so the request is handled by a later task.
-        if (completeRequest != null) ctx.executor().execute(::handleCompleteRequest)
+        if (completeRequest != null) context.executor().execute(::handleCompleteRequest)
     }
 
-    private fun reportDiscardedInput() {
+    /** What has arrived is decoded as far as possible now. */
+    fun bytesDecoded() {
+        if (!closing) waiting.update()
+    }
+
+    /** Receives what has arrived and waits, if the connection is ready for it. */
+    private fun continueReceiving() {
+        waiting.resume()
+        readingEnded()
+        if (closing || handlingRequest) return
+        if (partialRequest == null && (receivingHead || !waiting.incomplete)) return
+        receivingHead = partialRequest == null
+        if (receivingHead || !timer.running) timer.start(limits.headerTimeout) { refuse(ErrorKind.CALLER_TOO_SLOW) }
+    }
+
+    override fun inputDiscarded() {
         val decision = closeDecision ?: return
         closeDecision = null
         requestHandler.inputDiscarded(decision.reason, requestHandler.arrivalTime() - decision.time)
@@ -138,7 +171,7 @@
     }
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
-        stopTimer()
+        timer.stop()
         completeRequest?.body?.release()
         completeRequest = null
         closing = true
@@ -147,7 +180,6 @@
         inFlightRequest = null
         partialRequest?.body?.release()
         partialRequest = null
-        queued.clear()
         buffers.clear()
         requestHandler.closed(this)
     }
@@ -155,6 +187,7 @@
     override fun channelWritabilityChanged(ctx: ChannelHandlerContext) {
         if (writable) inFlightRequest?.callerWritable()
         if (writable) buffers.unread(0)
+        if (writable) continueReceiving()
     }
 
     override fun exceptionCaught(
@@ -220,11 +253,6 @@
         context.close()
     }
 
-    private fun queue(message: HttpObject) {
-        queued.add(message)
-        if (queued.full) context.channel().config().isAutoRead = false
-    }
-
     private fun process(message: HttpObject) {
         if (message is HttpRequest) receiveHead(message)
         if (message is HttpContent) {
@@ -237,7 +265,7 @@
     }
 
     private fun receiveHead(request: HttpRequest) {
-        stopTimer()
+        timer.stop()
         receivingHead = false
         buffers.headComplete(request)
         val checked = HeadCheck.check(request)
@@ -250,7 +278,7 @@
                 partialRequest = PartialRequest(request, host, BodyAssembler(limits.bodyBytes))
                 val length = HttpUtil.getContentLength(request, 0L)
                 if (length > 0 || HttpUtil.isTransferEncodingChunked(request)) {
-                    startTimer(limits.headerTimeout) { refuse(ErrorKind.CALLER_TOO_SLOW) }
+                    timer.start(limits.headerTimeout) { refuse(ErrorKind.CALLER_TOO_SLOW) }
                 }
                 if (length > limits.bodyBytes) {
                     refuse(ErrorKind.BODY_TOO_LARGE)
@@ -263,13 +291,13 @@
 
     private fun receiveContent(content: HttpContent) {
         val partial = partialRequest ?: return
-        buffers.bodyReceived(content.content().readableBytes())
+        buffers.bodyHeld(partial.body.heldBytes + content.content().readableBytes())
         when {
             partialRequest == null -> Unit
             content.decoderResult().isFailure -> refuse(ErrorKind.INVALID_REQUEST)
             !partial.body.add(content.content()) -> refuse(ErrorKind.BODY_TOO_LARGE)
             content is LastHttpContent -> complete(partial)
-            else -> startTimer(limits.headerTimeout) { refuse(ErrorKind.CALLER_TOO_SLOW) }
+            else -> timer.start(limits.headerTimeout) { refuse(ErrorKind.CALLER_TOO_SLOW) }
         }
     }
 
@@ -280,7 +308,7 @@
     }
 
     private fun complete(partial: PartialRequest) {
-        stopTimer()
+        timer.stop()
         partialRequest = null
         handlingRequest = true
         buffers.requestComplete()
@@ -291,20 +319,12 @@
         RequestHeaders.decode { partial.request.headers().getAll(it) }.fold(
             { refuse(ErrorKind.INVALID_REQUEST) },
             { metadata ->
-                val request =
-                    CallerRequest(
-                        partial.request.method(),
-                        partial.request.uri(),
-                        partial.host,
-                        partial.request.headers(),
-                        partial.body.take(),
-                        metadata,
-                        requestHandler.arrivalTime(),
-                    )
+                val request = partial.complete(metadata, requestHandler.arrivalTime())
                 val requestNumber = ++requestCount
+                unansweredRequest = requestNumber
                 val startedRequest = requestHandler.handle(request, this)
-                // The response may already be complete, and the next queued request may have been started.
-                if (handlingRequest && requestNumber == requestCount) inFlightRequest = startedRequest
+                // The response may already be complete, and the next request may have been decoded.
+                if (unansweredRequest == requestNumber) inFlightRequest = startedRequest
             },
         )
     }
@@ -316,28 +336,27 @@
 
     /** Whether another request has arrived behind the current one. */
     private fun pipelined(): Boolean {
-        if (queued.isEmpty()) context.channel().readAvailable()
-        return queued.isNotEmpty()
+        if (waiting.isEmpty) context.channel().readAvailable()
+        return !waiting.isEmpty
     }
 
     private fun responseSent() {
         context.flush()
+        unansweredRequest = 0
         inFlightRequest = null
         handlingRequest = false
         receivingHead = false
         buffers.requestEnded()
         if (!writable) buffers.unread(context.channel().bytesBeforeWritable())
         if (closeAnnounced) return closeGracefully(CloseReason.RESPONSE_COMPLETE)
-        startTimer(limits.idleTimeout, ::closeIdle)
-        while (!handlingRequest && !closing && queued.isNotEmpty()) {
-            process(queued.remove())
-        }
-        if (queued.isEmpty() && !closing) context.channel().config().isAutoRead = true
+        unread.reset()
+        timer.start(limits.idleTimeout, ::closeIdle)
+        continueReceiving()
         if (stopping) closeWhenIdle()
     }
 
     private fun refuse(kind: ErrorKind) {
-        stopTimer()
+        timer.stop()
         requestHandler.malformed(kind, partialRequest?.request)
         partialRequest?.body?.release()
         partialRequest = null
@@ -349,16 +368,20 @@
 
     /** A request that arrives from now on stays unread, so that its caller may send it again. */
     private fun closeIdle() {
+        if (!unread.isEmpty) {
+            if (unread.progressed()) timer.start(limits.idleTimeout, ::closeIdle) else context.close()
+            return
+        }
         closeGracefully(CloseReason.IDLE)
         context.channel().config().isAutoRead = false
     }
 
     private fun closeGracefully(reason: CloseReason) {
-        stopTimer()
+        timer.stop()
         closing = true
+        waiting.resume()
         // After a refusal, the rest of the refused request is expected.
         if (!refused) closeDecision = CloseDecision(reason, requestHandler.arrivalTime())
-        queued.clear()
         val channel = context.channel() as SocketChannel
         context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(
             ChannelFutureListener {
@@ -369,26 +392,6 @@
         channel.config().isAutoRead = true
     }
 
-    /** Runs [action] after [duration] unless input that has arrived by then, read or not, makes it obsolete. */
-    private fun startTimer(
-        duration: Duration,
-        action: () -> Unit,
-    ) {
-        stopTimer()
-        timer = context.executor().schedule({ timedOut(action) }, duration.inWholeMilliseconds, TimeUnit.MILLISECONDS)
-    }
-
-    private fun timedOut(action: () -> Unit) {
-        timer = null
-        context.channel().readAvailable()
-        if (timer == null && !handlingRequest && !closing) action()
-    }
-
-    private fun stopTimer() {
-        timer?.cancel(false)
-        timer = null
-    }
-
     private companion object {
         /** Time for the caller to read the end of the response and close its side; a round trip takes milliseconds. */
         val LINGER_TIME: Duration = 1.seconds
--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/StrictRequestDecoder.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/StrictRequestDecoder.kt
@@ -2,13 +2,12 @@
 
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
-import io.netty.handler.codec.http.HttpRequestDecoder
 import io.tarragonport.api.gateway.CallerLimits
 
 /** Decodes requests and rejects ambiguous ones that two parsers could interpret differently (request smuggling). */
 internal class StrictRequestDecoder(
     limits: CallerLimits,
-) : HttpRequestDecoder(config(limits)) {
+) : GatedRequestDecoder(config(limits)) {
     override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage): Unit =
         throw IllegalArgumentException("both Content-Length and Transfer-Encoding are present")
 
