Read a kept server connection again after a slow caller

Cause: reading from a server is paused while its caller is slow. If the response ended in the same read, its connection went back to the pool in that state. It is read again once the response has ended.

ServerConnectionPoolTest: the new test timed out before and passes now (one run each).

--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/ServerConnection.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/egress/ServerConnection.kt
@@ -121,9 +121,12 @@
         channel.close()
     }
 
-    /** Pauses or resumes reading from the server, for backpressure from the caller's connection. */
+    /**
+     * Pauses or resumes reading from the server, for backpressure from the caller's connection. The connection is read
+     * again once the response has ended.
+     */
     fun setReading(reading: Boolean) {
-        channel.config().isAutoRead = reading
+        if (listener != null) channel.config().isAutoRead = reading
     }
 
     override fun channelRead(
@@ -253,6 +256,7 @@
     private fun releaseIfDone() {
         if (!ended || listener == null) return
         if (!written && reusable && !decoder.unexpectedInput) return
+        setReading(true)
         listener = null
         idleSince = clock.markNow()
         when {
--- a/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/ServerConnectionPoolTest.kt
+++ b/tarragonport-daemon/src/test/kotlin/io/tarragonport/daemon/gateway/ServerConnectionPoolTest.kt
@@ -38,13 +38,17 @@
 
     private class CompletionListener(
         private val ended: CompletableFuture<Unit>,
+        private val onBody: () -> Unit = {},
     ) : ResponseListener {
         override fun responseStarted(
             response: HttpResponse,
             metadata: ResponseMetadata,
         ): Boolean = true
 
-        override fun bodyReceived(bytes: ByteBuf): Boolean = true
+        override fun bodyReceived(bytes: ByteBuf): Boolean {
+            onBody()
+            return true
+        }
 
         override fun responseEnded() {
             ended.complete(Unit)
@@ -116,20 +120,36 @@
             serverSide.close()
         }
 
+    /** Guards against a request whose response is never read, because the caller of the one before was slow. */
+    @Test
+    fun `a connection whose reading was paused at the end of a response is read again`() {
+        val (kept, serverSide) = keptConnection(response = RESPONSE_WITH_BODY) { it.setReading(false) }
+        val ended = CompletableFuture<Unit>()
+        loop.submit { pool.acquire { it?.send(request(), CompletionListener(ended)) } }
+        serverSide.getInputStream().read(ByteArray(4_096))
+        serverSide.send(RESPONSE)
+        ended.get(2, TimeUnit.SECONDS)
+        loop.submit { kept.cancel() }.sync()
+        serverSide.close()
+    }
+
     /** A connection that has served one request, with the server's side of it. */
-    private fun keptConnection(): Pair<ServerConnection, Socket> {
+    private fun keptConnection(
+        response: String = RESPONSE,
+        onBody: (ServerConnection) -> Unit = {},
+    ): Pair<ServerConnection, Socket> {
         val opened = CompletableFuture<ServerConnection?>()
         val ended = CompletableFuture<Unit>()
         loop.submit {
             pool.acquire { connection ->
-                connection?.send(request(), CompletionListener(ended))
+                connection?.send(request(), CompletionListener(ended) { onBody(connection) })
                 opened.complete(connection)
             }
         }
         val serverSide = serverSocket.accept()
         val connection = checkNotNull(opened.get(2, TimeUnit.SECONDS)) { "no connection" }
         serverSide.getInputStream().read(ByteArray(4_096))
-        serverSide.send(RESPONSE)
+        serverSide.send(response)
         ended.get(2, TimeUnit.SECONDS)
         // The connection returns to the pool at the end of the round in which its response ended.
         loop.submit {}.sync()
@@ -148,5 +168,6 @@
         const val ID = "request-1"
         const val RESPONSE =
             "HTTP/1.1 200 OK\r\n${WireHeaders.REQUEST_ID}: $ID\r\nKeep-Alive: timeout=5\r\nContent-Length: 0\r\n\r\n"
+        val RESPONSE_WITH_BODY = RESPONSE.replace("Content-Length: 0", "Content-Length: 4") + "body"
     }
 }
