--- a/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/WaitingInput.kt
+++ b/tarragonport-daemon/src/main/kotlin/io/tarragonport/daemon/gateway/ingress/WaitingInput.kt
@@ -55,17 +55,17 @@
         update()
     }
 
+    /** A round in which the turn was not used up has ended. */
+    fun roundEnded() {
+        if (!turnScheduled) turnCost = 0
+    }
+
     private fun startTurn() {
         turnScheduled = false
         turnCost = 0
         onTurn()
     }
 
-    /** A round in which the turn was not used up has ended. */
-    fun roundEnded() {
-        if (!turnScheduled) turnCost = 0
-    }
-
     private companion object {
         /** Enough for a few pipelined prompts of typical size. */
         const val MAXIMUM_BYTES = 131_072
