--- a/tarragonport-api/src/main/kotlin/io/tarragonport/api/id/FencingToken.kt
+++ b/tarragonport-api/src/main/kotlin/io/tarragonport/api/id/FencingToken.kt
@@ -3,8 +3,8 @@
 import kotlinx.serialization.Serializable
 
 /**
- * Fencing token of a lease, incremented by one each time the holder changes; receivers that check it refuse orders with
- * a lower one.
+ * Fencing token of a lease, which rises each time the holder changes; receivers that check it refuse orders with a lower
+ * one.
  */
 @Serializable
 @JvmInline
