Give each run of a review script addresses of its own

A run of case 11 beside the others could not start a gateway; all runs took ports at the same three addresses. Addresses now depend on the process.

--- a/review/standins-3/Fleet.java
+++ b/review/standins-3/Fleet.java
@@ -25,7 +25,7 @@
         private Process process;
 
         private Gateway(int number) throws IOException {
-            ip = "127.0.0." + (11 + number);
+            ip = address(number);
             id = "edge-a-" + (1 + number);
             port = freePort(ip);
             readinessPort = freePort(ip);
@@ -33,12 +33,13 @@
             Files.writeString(settings.toPath(), """
                     {"vm_id": "%s", "region": "here", "failure_domain": "a", "ip": "%s",
                      "caller_address": "%s:%d", "readiness_address": "%s:%d", "metrics_port": %d,
-                     "peer_ports": [%d, %d], "seeds": ["127.0.0.11:1", "127.0.0.12:1", "127.0.0.13:1"],
+                     "peer_ports": [%d, %d], "seeds": ["%s:1", "%s:1", "%s:1"],
                      "platform_url": "http://%s", "duty_url": "http://%s", "duties": ["usage_report"],
                      "stop_seconds": 8, "retry_ratio": 0.2, "retry_spare": 54, "retry_window_seconds": 10,
                      "lease_seconds": 3.0, "usage_window_seconds": 5, "usage_due_seconds": 10,
                      "configuration_seconds": 2.0}
                     """.formatted(id, ip, ip, port, ip, readinessPort, freePort(ip), peerPort, peerPort,
+                    address(0), address(1), address(2),
                     store.address(), store.address()));
         }
 
@@ -95,7 +96,7 @@
     private final Path root;
     private final PrintWriter record;
     private final String runCommand;
-    private final int peerPort = freePort("127.0.0.11");
+    private final int peerPort = freePort(address(0));
 
     /** [root] is the folder of the project, [caseFolder] that of the case, which gets the record. */
     Fleet(String root, String caseFolder, int count) throws IOException {
@@ -142,6 +143,12 @@
                 """.formatted(name, name, type, timeoutMs, targetMs, service, attempts, more);
     }
 
+    /** The address of a gateway; runs at the same time use other ones, so that they do not take each other's ports. */
+    private static String address(int number) {
+        long pid = ProcessHandle.current().pid();
+        return "127." + (1 + pid / 250 % 250) + "." + (1 + pid % 250) + "." + (11 + number);
+    }
+
     private static int freePort(String ip) throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(ip))) {
             return socket.getLocalPort();
